--- /dev/null
+++ b/schema/schema.go
@@ -0,0 +1,9 @@
+// Package schema embeds the JSON schemas that define the inventory and the settings.
+package schema
+
+import _ "embed" // The schemas are compiled in, so that no file is needed at run time.
+
+// Inventory is the JSON schema of the operators' inventory.
+//
+//go:embed inventory.schema.json
+var Inventory []byte
