--- a/inventory/walk.go
+++ b/inventory/walk.go
@@ -148,6 +148,10 @@
 	switch v := n.(type) {
 	case *ast.FloatNode:
 		return v.Value, true
+	case *ast.InfinityNode:
+		return v.Value, true
+	case *ast.NanNode:
+		return math.NaN(), true
 	case *ast.IntegerNode:
 		switch i := v.Value.(type) {
 		case int64:
