--- /dev/null
+++ b/internal/idempotency/registry.go
@@ -0,0 +1,218 @@
+package idempotency
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Defaults of Config.
+const (
+	DefaultWindow         = time.Minute
+	DefaultRetainWindows  = 10
+	DefaultMaxRecords     = 1 << 20
+	DefaultAnswerBytes    = 64 << 20
+	DefaultMaxAnswerBytes = 64 << 10
+)
+
+// shardCount spreads the records over locks, so that calls of different IDs rarely wait for each other.
+const shardCount = 32
+
+// Config holds the bounds of a registry. Zero values stand for the defaults.
+type Config struct {
+	Incarnation    string        // of this entry
+	Window         time.Duration // length of a window
+	RetainWindows  int64         // windows for which a record is kept
+	MaxRecords     int           // records over all IDs
+	AnswerBytes    int           // bytes of all stored answers
+	MaxAnswerBytes int           // largest stored answer
+}
+
+func orDefault[T int | int64 | time.Duration](v, fallback T) T {
+	if v <= 0 {
+		return fallback
+	}
+	return v
+}
+
+// Registry holds the records of one entry.
+type Registry struct {
+	cfg    Config
+	start  time.Time
+	window atomic.Int64 // highest window seen, so that a step back in time does not reopen a window
+	frozen atomic.Bool
+	shards [shardCount]shard
+
+	adoptedMu sync.RWMutex
+	adopted   map[string]int64 // incarnation whose records were imported, to the window in which they expire
+}
+
+// NewRegistry returns an empty registry whose window 0 starts at the time start.
+func NewRegistry(cfg Config, start time.Time) *Registry {
+	cfg.Window = orDefault(cfg.Window, DefaultWindow)
+	cfg.RetainWindows = orDefault(cfg.RetainWindows, DefaultRetainWindows)
+	cfg.MaxRecords = orDefault(cfg.MaxRecords, DefaultMaxRecords)
+	cfg.AnswerBytes = orDefault(cfg.AnswerBytes, DefaultAnswerBytes)
+	cfg.MaxAnswerBytes = orDefault(cfg.MaxAnswerBytes, DefaultMaxAnswerBytes)
+	r := &Registry{cfg: cfg, start: start, adopted: map[string]int64{}}
+	for i := range r.shards {
+		r.shards[i] = newShard(max(1, cfg.MaxRecords/shardCount), cfg.AnswerBytes/shardCount)
+	}
+	return r
+}
+
+// Prefix returns the request-ID prefix for callers at the time now.
+func (r *Registry) Prefix(now time.Time) string { return Prefix(r.cfg.Incarnation, r.current(now)) }
+
+// current returns the number of the window at the time now; it never falls.
+func (r *Registry) current(now time.Time) int64 {
+	w := max(0, int64(now.Sub(r.start)/r.cfg.Window))
+	for {
+		seen := r.window.Load()
+		if w <= seen {
+			return seen
+		}
+		if r.window.CompareAndSwap(seen, w) {
+			return w
+		}
+	}
+}
+
+func (r *Registry) shardOf(text string) *shard {
+	return &r.shards[xxhash.Sum64String(text)%shardCount]
+}
+
+// Begin says what to do with a call of the ID. After the verdict Run the caller must call Finish exactly once.
+// An opaque ID is taken as registered here; Homes decides that beforehand.
+func (r *Registry) Begin(now time.Time, text string) Verdict {
+	id, err := ParseID(text)
+	if err != nil {
+		return Verdict{Kind: Invalid, Reason: err.Error()}
+	}
+	window := r.current(now)
+	s := r.shardOf(text)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(window)
+	if rec := s.records[text]; rec != nil {
+		return rec.verdict()
+	}
+	if v, ok := r.admission(id, window); !ok {
+		return v
+	}
+	if len(s.records) >= s.maxRecords {
+		return Verdict{Kind: Refuse, Reason: "the at-most-once records of this entry are full"}
+	}
+	expires := window + r.cfg.RetainWindows + 1 // the current window has partly passed
+	if !id.Opaque() {
+		expires = id.Window + r.cfg.RetainWindows
+	}
+	s.insert(&record{id: text, opaque: id.Opaque(), expires: expires, done: make(chan struct{})})
+	return Verdict{Kind: Run}
+}
+
+// admission reports whether an ID without a record may run here, or else the verdict.
+func (r *Registry) admission(id ID, window int64) (Verdict, bool) {
+	if !id.Opaque() && id.Incarnation != r.cfg.Incarnation {
+		return r.foreign(id, window), false
+	}
+	if !id.Opaque() && id.Window > window {
+		return Verdict{Kind: Unknown, Reason: "the window of the request ID is in the future"}, false
+	}
+	if !id.Opaque() && window-id.Window >= r.cfg.RetainWindows {
+		return Verdict{Kind: Unknown, Reason: "the window of the request ID has expired"}, false
+	}
+	if r.frozen.Load() {
+		return Verdict{Kind: Refuse, Reason: "this entry is stopping"}, false
+	}
+	return Verdict{}, true
+}
+
+// foreign answers for an ID of another incarnation that has no record here. When that incarnation stopped as planned
+// and handed its records over, the missing record proves that the call did not run and never will.
+func (r *Registry) foreign(id ID, window int64) Verdict {
+	r.adoptedMu.RLock()
+	expires, ok := r.adopted[id.Incarnation]
+	r.adoptedMu.RUnlock()
+	if ok && window < expires {
+		return Verdict{Kind: Refuse, Reason: "the registrar has stopped without running the call"}
+	}
+	return Verdict{Kind: Elsewhere, Incarnation: id.Incarnation}
+}
+
+// Finish stores the result of a call that Begin let run. It has no effect on an ID that is not running.
+func (r *Registry) Finish(now time.Time, text string, o Outcome) {
+	window := r.current(now)
+	s := r.shardOf(text)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rec := s.records[text]
+	if rec == nil || rec.state != running {
+		return
+	}
+	if o.Kind == NotRun {
+		rec.result = Verdict{Kind: Refuse, Reason: o.Reason}
+		delete(s.records, text)
+		close(rec.done)
+		return
+	}
+	if rec.opaque {
+		rec.expires = max(rec.expires, window+r.cfg.RetainWindows+1)
+	}
+	rec.state = ended
+	if o.Kind == Done {
+		rec.result = Verdict{Kind: DoneWithoutAnswer}
+		if a := o.Answer; a != nil && a.size() <= r.cfg.MaxAnswerBytes {
+			s.keep(rec, a)
+		}
+	} else {
+		rec.result = Verdict{Kind: Unknown, Reason: o.Reason}
+	}
+	close(rec.done)
+}
+
+// Lookup answers for an ID without registering it. known is false when this registry holds no record of it.
+func (r *Registry) Lookup(now time.Time, text string) (v Verdict, known bool) {
+	window := r.current(now)
+	s := r.shardOf(text)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(window)
+	rec := s.records[text]
+	if rec == nil {
+		return Verdict{}, false
+	}
+	return rec.verdict(), true
+}
+
+// Sizes returns the number of records and the bytes of stored answers.
+func (r *Registry) Sizes() (records, answerBytes int) {
+	for i := range r.shards {
+		s := &r.shards[i]
+		s.mu.Lock()
+		records += len(s.records)
+		answerBytes += s.bytes
+		s.mu.Unlock()
+	}
+	return records, answerBytes
+}
+
+// Expire drops records past their retention. Begin does the same for the part of the records that it touches.
+func (r *Registry) Expire(now time.Time) {
+	window := r.current(now)
+	for i := range r.shards {
+		s := &r.shards[i]
+		s.mu.Lock()
+		s.expire(window)
+		s.mu.Unlock()
+	}
+	r.adoptedMu.Lock()
+	defer r.adoptedMu.Unlock()
+	for incarnation, expires := range r.adopted {
+		if expires <= window {
+			delete(r.adopted, incarnation)
+		}
+	}
+}
--- /dev/null
+++ b/internal/idempotency/registry_test.go
@@ -0,0 +1,191 @@
+package idempotency
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
+
+const (
+	inc      = "0123456789abcdef"
+	otherInc = "fedcba9876543210"
+)
+
+func newRegistry() *Registry { return NewRegistry(Config{Incarnation: inc}, start) }
+
+// Guards against malformed IDs that pass as opaque ones and so escape the registrar that they name.
+func TestParseID(t *testing.T) {
+	id, err := ParseID("bh1." + inc + ".12.a.b")
+	require.NoError(t, err)
+	assert.Equal(t, ID{Text: "bh1." + inc + ".12.a.b", Incarnation: inc, Window: 12}, id)
+	id, err = ParseID("order-7")
+	require.NoError(t, err)
+	assert.True(t, id.Opaque())
+	for _, bad := range []string{"", "a b", "é", "a\n", strings.Repeat("x", 129), "bh1.", "bh1." + inc, "bh1." + inc + ".1", "bh1." + inc + ".1.", "bh1." + inc + ".-1.u", "bh1." + inc + ".01.u", "bh1." + inc + ".x.u", "bh1.0123.1.u", "bh1." + strings.ToUpper(inc) + ".1.u"} {
+		_, err := ParseID(bad)
+		assert.ErrorIs(t, err, ErrInvalidID, bad)
+	}
+}
+
+// Guards against a second run of a call under any order of resends, results and time.
+func TestAnIDRunsAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := NewRegistry(Config{Incarnation: inc, AnswerBytes: 32 * 400}, start)
+		now := start
+		ids := []string{"opaque", r.Prefix(now) + ".a", r.Prefix(now) + ".b", Prefix(inc, 5) + ".c"}
+		running, ran, endedAt := map[string]bool{}, map[string]bool{}, map[string]time.Time{}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			id := rapid.SampledFrom(ids).Draw(t, "id")
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0, 1:
+				v := r.Begin(now, id)
+				if running[id] && v.Kind != Wait {
+					t.Fatalf("%s runs and the resend is told %s", id, v.Kind)
+				}
+				if v.Kind != Run {
+					if v.Kind == Refuse && ran[id] {
+						t.Fatalf("%s ran and the resend is told not run", id)
+					}
+					break
+				}
+				forgotten := id == "opaque" && now.Sub(endedAt[id]) >= DefaultRetainWindows*DefaultWindow
+				if ran[id] && !forgotten {
+					t.Fatalf("%s runs twice", id)
+				}
+				running[id] = true
+			case 2:
+				if !running[id] {
+					break
+				}
+				kind := rapid.SampledFrom([]OutcomeKind{Done, NotRun, Lost}).Draw(t, "outcome")
+				r.Finish(now, id, Outcome{Kind: kind, Answer: &Answer{Status: 200, Body: []byte(id)}})
+				running[id] = false
+				ran[id] = kind != NotRun
+				endedAt[id] = now
+			case 3:
+				now = now.Add(time.Duration(rapid.IntRange(1, 400).Draw(t, "seconds")) * time.Second)
+			}
+		}
+	})
+}
+
+// Guards against resends that are answered with another call's response, or run while the first attempt does.
+func TestResendWaitsAndReceivesTheSameAnswer(t *testing.T) {
+	r := newRegistry()
+	id := r.Prefix(start) + ".1"
+	require.Equal(t, Run, r.Begin(start, id).Kind)
+	v := r.Begin(start, id)
+	require.Equal(t, Wait, v.Kind)
+	select {
+	case <-v.Waiting.Done():
+		t.Fatal("done before the attempt ended")
+	default:
+	}
+	answer := &Answer{Status: 201, Header: http.Header{"Location": {"/orders/1"}}, Body: []byte("one")}
+	r.Finish(start, id, Outcome{Kind: Done, Answer: answer})
+	<-v.Waiting.Done()
+	assert.Same(t, answer, v.Waiting.Result().Answer)
+	assert.Same(t, answer, r.Begin(start, id).Answer)
+	r.Finish(start, id, Outcome{Kind: NotRun})
+	assert.Equal(t, Replay, r.Begin(start, id).Kind, "a late second result changes nothing")
+}
+
+// Guards against an attempt that may have run being repeated, and against one proved not run being lost.
+func TestOutcomesDecideWhetherAnIDMayRunAgain(t *testing.T) {
+	r := newRegistry()
+	for kind, want := range map[OutcomeKind]VerdictKind{NotRun: Run, Lost: Unknown, Done: DoneWithoutAnswer} {
+		id := fmt.Sprintf("%s.%d", r.Prefix(start), kind)
+		require.Equal(t, Run, r.Begin(start, id).Kind)
+		waiting := r.Begin(start, id).Waiting
+		r.Finish(start, id, Outcome{Kind: kind})
+		assert.Equal(t, want, r.Begin(start, id).Kind)
+		if kind == NotRun {
+			assert.Equal(t, Refuse, waiting.Result().Kind)
+		}
+	}
+}
+
+// Guards against IDs that run although their record may have been dropped, or that name a window not handed out yet.
+func TestWindows(t *testing.T) {
+	r := newRegistry()
+	at := func(minutes int) time.Time { return start.Add(time.Duration(minutes) * time.Minute) }
+	assert.Equal(t, Unknown, r.Begin(start, Prefix(inc, 1)+".x").Kind, "future")
+	assert.Equal(t, Run, r.Begin(at(9), Prefix(inc, 0)+".y").Kind)
+	assert.Equal(t, Unknown, r.Begin(at(10), Prefix(inc, 0)+".x").Kind, "expired")
+	assert.Equal(t, Wait, r.Begin(at(30), Prefix(inc, 0)+".y").Kind, "a running call keeps its record")
+	r.Finish(at(30), Prefix(inc, 0)+".y", Outcome{Kind: Done})
+	assert.Equal(t, Unknown, r.Begin(at(32), Prefix(inc, 0)+".y").Kind)
+	assert.Equal(t, Unknown, r.Begin(at(0), Prefix(inc, 0)+".z").Kind, "a step back in time opens no window again")
+	assert.Equal(t, Verdict{Kind: Elsewhere, Incarnation: otherInc}, r.Begin(at(32), Prefix(otherInc, 3)+".x"))
+	r.Expire(at(60))
+	records, bytes := r.Sizes()
+	assert.Zero(t, records+bytes, "nothing is kept past the retention")
+}
+
+// Guards against memory that grows with answers or IDs, and against bounds that forget that a call ran.
+func TestMemoryIsBounded(t *testing.T) {
+	r := NewRegistry(Config{Incarnation: inc, MaxRecords: 3200, AnswerBytes: 64 << 10, MaxAnswerBytes: 1 << 10}, start)
+	refused := 0
+	for i := range 10000 {
+		id := fmt.Sprintf("%s.%d", r.Prefix(start), i)
+		if v := r.Begin(start, id); v.Kind == Refuse {
+			refused++
+			continue
+		}
+		r.Finish(start, id, Outcome{Kind: Done, Answer: &Answer{Status: 200, Body: make([]byte, 500+i%1000)}})
+		assert.Contains(t, []VerdictKind{Replay, DoneWithoutAnswer}, r.Begin(start, id).Kind)
+	}
+	records, bytes := r.Sizes()
+	assert.LessOrEqual(t, records, 3200)
+	assert.LessOrEqual(t, bytes, 64<<10)
+	assert.Equal(t, 10000-records, refused)
+	first := r.Begin(start, r.Prefix(start)+".0")
+	assert.Equal(t, DoneWithoutAnswer, first.Kind, "the answer is gone and the fact is kept")
+}
+
+// Guards against records that a planned stop loses, and against calls that both entries run.
+func TestPlannedStopHandsRecordsOver(t *testing.T) {
+	old, next := newRegistry(), NewRegistry(Config{Incarnation: otherInc}, start.Add(-time.Hour))
+	prefix := old.Prefix(start)
+	for _, id := range []string{".done", ".lost", ".open"} {
+		require.Equal(t, Run, old.Begin(start, prefix+id).Kind)
+	}
+	require.Equal(t, Run, old.Begin(start, "opaque").Kind)
+	old.Finish(start, prefix+".done", Outcome{Kind: Done, Answer: &Answer{Status: 200, Body: []byte("kept")}})
+	old.Finish(start, prefix+".lost", Outcome{Kind: Lost})
+	old.Finish(start, "opaque", Outcome{Kind: Done})
+	old.Freeze()
+	assert.Equal(t, Refuse, old.Begin(start, prefix+".late").Kind)
+	assert.Equal(t, Elsewhere, next.Begin(start, prefix+".late").Kind, "before the handover the successor knows nothing")
+
+	next.Import(start, inc, append(old.Export(start), Record{ID: "bad id"}), true)
+	assert.Equal(t, []byte("kept"), next.Begin(start, prefix+".done").Answer.Body)
+	assert.Equal(t, Unknown, next.Begin(start, prefix+".lost").Kind)
+	assert.Equal(t, Unknown, next.Begin(start, prefix+".open").Kind)
+	assert.Equal(t, DoneWithoutAnswer, next.Begin(start, "opaque").Kind)
+	assert.Equal(t, Refuse, next.Begin(start, prefix+".late").Kind, "proved not run, and never run by the successor")
+	assert.Equal(t, Elsewhere, next.Begin(start.Add(11*time.Minute), prefix+".late").Kind)
+}
+
+// BenchmarkBeginFinish measures the record of a call from all cores.
+func BenchmarkBeginFinish(b *testing.B) {
+	r := newRegistry()
+	prefix := r.Prefix(start)
+	b.ReportAllocs()
+	var n int
+	for b.Loop() {
+		n++
+		id := fmt.Sprintf("%s.%d", prefix, n%100000)
+		if r.Begin(start, id).Kind == Run {
+			r.Finish(start, id, Outcome{Kind: NotRun})
+		}
+	}
+}
