Add package retry: budgets, the rule for further attempts, hedging

In a chain of 6 services whose leaf loses each connection, the leaf receives 729 attempts per call when each level tries 3 times, and 1.10 with the rule (go test -v -run Amplification ./internal/retry).

--- /dev/null
+++ b/internal/retry/retry_test.go
@@ -0,0 +1,215 @@
+package retry
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
+
+// Guards against bursts of retries after an idle time or at any mix of calls: in each window, retries stay within
+// 10 % of the calls plus 3.
+func TestBudgetHoldsInEachWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := NewRetryBudget()
+		now := start
+		calls, taken := map[int64]int{}, map[int64]int{}
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			index := now.UnixNano() / int64(100*time.Millisecond)
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
+			case 1:
+				for range rapid.IntRange(1, 50).Draw(t, "calls") {
+					b.Call(now)
+					calls[index]++
+				}
+			default:
+				if b.Take(now) {
+					taken[index]++
+				}
+			}
+		}
+		for last := range taken {
+			c, r := 0, 0
+			for i := last - 9; i <= last; i++ {
+				c += calls[i]
+				r += taken[i]
+			}
+			if float64(r) > RetryRatio*float64(c)+RetryPerSecond {
+				t.Fatalf("%d retries for %d calls in one window", r, c)
+			}
+		}
+	})
+}
+
+// Guards against a budget that starves a service with few calls.
+func TestBudgetServesFewCalls(t *testing.T) {
+	b := NewRetryBudget()
+	for i := range 3 {
+		assert.True(t, b.Take(start), i)
+	}
+	assert.False(t, b.Take(start))
+	assert.True(t, b.Take(start.Add(time.Hour)))
+}
+
+// Guards against a second run of a call that may have run, and against retries that add to an overload.
+func TestDecide(t *testing.T) {
+	good := Attempt{Fault: NotRun, Number: 1, Remaining: time.Second}
+	with := func(change func(*Attempt)) Attempt {
+		a := good
+		change(&a)
+		return a
+	}
+	cases := map[string]struct {
+		attempt Attempt
+		retry   bool
+	}{
+		"not run":                     {good, true},
+		"lost, idempotent":            {with(func(a *Attempt) { a.Fault, a.Idempotent = Lost, true }), true},
+		"lost, not idempotent":        {with(func(a *Attempt) { a.Fault = Lost }), false},
+		"full response":               {with(func(a *Attempt) { a.Fault, a.Idempotent = FullResponse, true }), false},
+		"deadline":                    {with(func(a *Attempt) { a.Fault, a.Idempotent = DeadlineSpent, true }), false},
+		"cancelled":                   {with(func(a *Attempt) { a.Fault, a.Idempotent = Cancelled, true }), false},
+		"marked by a nearer entry":    {with(func(a *Attempt) { a.Retried = true }), false},
+		"all pools overloaded":        {with(func(a *Attempt) { a.AllOverload = true }), false},
+		"poison":                      {with(func(a *Attempt) { a.Poisoned = true }), false},
+		"third attempt":               {with(func(a *Attempt) { a.Number = MaxAttempts }), false},
+		"shorter than a call":         {with(func(a *Attempt) { a.Expected = 2 * time.Second }), false},
+		"deadline passed just before": {with(func(a *Attempt) { a.Remaining = 0 }), false},
+	}
+	for name, c := range cases {
+		got := NewPolicy().Decide(start, "s", c.attempt)
+		assert.Equal(t, c.retry, got.Retry, name)
+		assert.Equal(t, c.retry, got.Reason == "", name)
+	}
+}
+
+// Guards against a retried call that is neither proved not run nor idempotent, whatever else holds.
+func TestNoRetryOfACallThatMayHaveRun(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a := Attempt{
+			Fault:       Fault(rapid.IntRange(0, 4).Draw(t, "fault")),
+			Idempotent:  rapid.Bool().Draw(t, "idempotent"),
+			Retried:     rapid.Bool().Draw(t, "retried"),
+			AllOverload: rapid.Bool().Draw(t, "overload"),
+			Number:      rapid.IntRange(1, 4).Draw(t, "number"),
+			Remaining:   time.Duration(rapid.IntRange(-1, 10).Draw(t, "remaining")) * time.Second,
+		}
+		if !NewPolicy().Decide(start, "s", a).Retry {
+			return
+		}
+		if a.Fault != NotRun && !(a.Fault == Lost && a.Idempotent) || a.Retried || a.AllOverload {
+			t.Fatalf("retried %+v", a)
+		}
+	})
+}
+
+// callTree sends calls down a chain of services whose leaf loses each connection, and counts the attempts at the leaf.
+// Each level is an ingress with its own budgets. passMark says whether the services between pass Boragehinge-Retried
+// on and stay silent about the fault, or answer with a full response of their own.
+type callTree struct {
+	depth    int
+	rule     bool
+	passMark bool
+	levels   []*Policy
+	attempts int
+}
+
+func (c *callTree) call(now time.Time, level int) (failure Attempt) {
+	c.levels[level].Call(now, "s")
+	for number := 1; ; number++ {
+		failure = Attempt{Fault: Lost}
+		if level == c.depth-1 {
+			c.attempts++
+		} else {
+			failure = c.call(now, level+1)
+			if !c.passMark {
+				failure = Attempt{Fault: FullResponse}
+			}
+		}
+		failure.Idempotent, failure.Number, failure.Remaining = true, number, time.Minute
+		if !c.rule {
+			if number >= MaxAttempts {
+				return failure
+			}
+			continue
+		}
+		if !c.levels[level].Decide(now, "s", failure).Retry {
+			failure.Retried = true
+			return failure
+		}
+	}
+}
+
+func amplification(depth, calls int, rule, passMark bool) float64 {
+	c := &callTree{depth: depth, rule: rule, passMark: passMark}
+	for range depth {
+		c.levels = append(c.levels, NewPolicy())
+	}
+	for i := range calls {
+		c.call(start.Add(time.Duration(i)*time.Millisecond), 0)
+	}
+	return float64(c.attempts) / float64(calls)
+}
+
+// Guards against retries that multiply over the levels of a call tree and bury a failing leaf.
+func TestAmplificationOfACallTree(t *testing.T) {
+	const depth, calls = 6, 1000
+	without := amplification(depth, calls, false, true)
+	marked := amplification(depth, calls, true, true)
+	unmarked := amplification(depth, calls, true, false)
+	t.Logf("attempts at the leaf per call, %d levels: %.2f without the rule, %.2f with it, %.2f when services drop the mark", depth, without, marked, unmarked)
+	assert.Equal(t, math.Pow(MaxAttempts, depth), without)
+	assert.LessOrEqual(t, marked, 1+RetryRatio+RetryPerSecond/1000*2)
+	assert.LessOrEqual(t, unmarked, 1+RetryRatio+RetryPerSecond/1000*2)
+}
+
+func warmHedger() *Hedger {
+	h := NewHedger()
+	for i := range 1000 {
+		h.Call(start)
+		h.Observe(start, time.Duration(1+i%100)*time.Millisecond)
+	}
+	return h
+}
+
+// Guards against hedges at a wrong time: the estimate lies within its step of 19 % of the 95th percentile.
+func TestHedgeDelayIsThe95thPercentile(t *testing.T) {
+	h := warmHedger()
+	delay, ok := h.Delay(start)
+	require.True(t, ok)
+	assert.InEpsilon(t, 95*time.Millisecond, delay, 0.19)
+	_, ok = h.Delay(start.Add(time.Minute))
+	assert.False(t, ok, "old latencies say nothing")
+	_, ok = NewHedger().Delay(start)
+	assert.False(t, ok)
+}
+
+// Guards against hedges beyond 2 % of the calls, on top of overload, or of calls that must not run twice.
+func TestHedgesAreBounded(t *testing.T) {
+	good := Hedge{Idempotent: true, ClassAllow: true, Attempts: 1, Remaining: time.Second}
+	for name, change := range map[string]func(*Hedge){
+		"not idempotent":    func(c *Hedge) { c.Idempotent = false },
+		"class without":     func(c *Hedge) { c.ClassAllow = false },
+		"overloaded":        func(c *Hedge) { c.Overloaded = true },
+		"tried again":       func(c *Hedge) { c.Attempts = 2 },
+		"no time remaining": func(c *Hedge) { c.Remaining = time.Millisecond },
+	} {
+		c := good
+		change(&c)
+		assert.False(t, warmHedger().Decide(start, c).Retry, name)
+	}
+	h, hedges := warmHedger(), 0
+	for range 1000 {
+		if h.Decide(start, good).Retry {
+			hedges++
+		}
+	}
+	assert.Equal(t, 20, hedges)
+}
