--- /dev/null
+++ b/internal/poison/poison_test.go
@@ -0,0 +1,104 @@
+package poison
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+var start = time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
+
+func request(id string) Fingerprints { return Of("s", id, "POST", "/p/"+id, []byte(id)) }
+
+func blocked(d *Detector, now time.Time, f Fingerprints) bool {
+	_, ok := d.Blocked(now, f)
+	return ok
+}
+
+// Guards against a request that crashes one upstream after the other, under its own ID or under new ones.
+func TestPoisonIsBlockedAfterTwoUpstreams(t *testing.T) {
+	d := NewDetector()
+	poison := request("poison")
+	d.Register(start, "s", "u1", []Fingerprints{poison})
+	assert.False(t, blocked(d, start, poison), "one crash proves nothing")
+	d.Register(start.Add(time.Second), "s", "u1", []Fingerprints{poison})
+	assert.False(t, blocked(d, start, poison), "the same upstream again proves nothing against the request")
+	d.Register(start.Add(2*time.Second), "s", "u2", []Fingerprints{poison})
+	assert.True(t, blocked(d, start.Add(3*time.Second), poison))
+	assert.True(t, blocked(d, start.Add(3*time.Second), Of("s", "new ID", "POST", "/p/poison", []byte("poison"))))
+	assert.False(t, blocked(d, start.Add(3*time.Second), request("other")))
+	assert.False(t, blocked(d, start.Add(2*time.Second+BlockTime), poison), "the block ends")
+	d.Register(start.Add(70*time.Second), "s", "u3", []Fingerprints{poison})
+	assert.True(t, blocked(d, start.Add(71*time.Second), poison), "one more crash blocks it again")
+}
+
+// Guards against evidence that stays on one entry, and against facts that count twice when two peers pass them on.
+func TestEvidenceOfSeveralEntries(t *testing.T) {
+	a, b := NewDetector(), NewDetector()
+	poison := request("poison")
+	first := a.Register(start, "s", "u1", []Fingerprints{poison})
+	b.Observe(start.Add(time.Millisecond), first...)
+	b.Observe(start.Add(time.Second), first...)
+	assert.False(t, blocked(b, start.Add(time.Second), poison), "a repeated fact is the same crash")
+	a.Observe(start.Add(3*time.Second), b.Register(start.Add(2*time.Second), "s", "u2", []Fingerprints{poison})...)
+	assert.True(t, blocked(a, start.Add(4*time.Second), poison))
+	assert.True(t, blocked(b, start.Add(4*time.Second), poison))
+}
+
+// Guards against innocent requests that happened to run beside the poison and stay blocked.
+func TestInnocentRequestsAreCleared(t *testing.T) {
+	a, b := NewDetector(), NewDetector()
+	poison, innocent := request("poison"), request("innocent")
+	for i, u := range []string{"u1", "u2"} {
+		b.Observe(start, a.Register(start.Add(time.Duration(i)*time.Second), "s", u, []Fingerprints{poison, innocent})...)
+	}
+	now := start.Add(2 * time.Second)
+	assert.True(t, blocked(a, now, innocent), "it cannot be told apart yet")
+	cleared := a.Succeeded(innocent)
+	assert.Len(t, cleared, 2)
+	b.Clear(cleared...)
+	for _, d := range []*Detector{a, b} {
+		assert.False(t, blocked(d, now, innocent))
+		assert.True(t, blocked(d, now, poison))
+	}
+	assert.False(t, blocked(a, now.Add(BlockTime), poison), "no block outlasts its time without a new crash")
+}
+
+// Guards against requests that are blamed for an upstream that crashes by itself.
+func TestCrashLoopOfAnUpstream(t *testing.T) {
+	d := NewDetector()
+	victim := request("victim")
+	d.Register(start, "s", "loop", []Fingerprints{victim})
+	assert.False(t, d.CrashLoop(start, "loop"))
+	d.Register(start, "s", "u2", []Fingerprints{victim})
+	assert.True(t, blocked(d, start, victim))
+	d.Register(start.Add(time.Second), "s", "loop", []Fingerprints{request("another")})
+	now := start.Add(2 * time.Second)
+	assert.True(t, d.CrashLoop(now, "loop"))
+	assert.False(t, blocked(d, now, victim), "the crashes of a crash loop count against no request")
+	assert.False(t, d.CrashLoop(now.Add(Memory), "loop"))
+
+	shared := NewDetector()
+	poison := request("poison")
+	for i := range 3 {
+		shared.Register(start.Add(time.Duration(i)*time.Second), "s", "u1", []Fingerprints{poison, request(fmt.Sprint(i))})
+	}
+	assert.False(t, shared.CrashLoop(start.Add(4*time.Second), "u1"), "a request common to the crashes explains them")
+}
+
+// Guards against fingerprints that mix up services, methods or bodies, and against memory that grows with requests.
+func TestFingerprintsAndMemory(t *testing.T) {
+	base := Of("s", "", "GET", "/a", []byte("b"))
+	assert.Empty(t, base.ID)
+	assert.Len(t, base.Content, 16)
+	for _, other := range []Fingerprints{Of("t", "", "GET", "/a", []byte("b")), Of("s", "", "PUT", "/a", []byte("b")), Of("s", "", "GET", "/b", []byte("b")), Of("s", "", "GET", "/a", []byte("c")), Of("s", "", "GET", "/ab", nil)} {
+		assert.NotEqual(t, base, other)
+	}
+	d := NewDetector()
+	for i := range 2 * MaxFingerprints {
+		d.Register(start, "s", "u1", []Fingerprints{request(fmt.Sprint(i))})
+	}
+	assert.LessOrEqual(t, d.suspects.Len(), MaxFingerprints)
+}
