--- a/internal/model/inventory_gen.go
+++ b/internal/model/inventory_gen.go
@@ -5,7 +5,7 @@
 import "time"
 
 type Customer struct {
-	// Name corresponds to the JSON schema field "name".
+	// Unique name of the customer.
 	Name string `json:"name" yaml:"name"`
 
 	// Number of priority levels that the customer's calls move up.
@@ -30,13 +30,13 @@
 type DataCentreDelaysMs map[string]float64
 
 type DataCentreRule struct {
-	// DataCentre corresponds to the JSON schema field "dataCentre".
+	// Data centre that the rule is for.
 	DataCentre string `json:"dataCentre" yaml:"dataCentre"`
 
-	// Reason corresponds to the JSON schema field "reason".
+	// Reason that the status shows.
 	Reason *string `json:"reason,omitempty,omitzero" yaml:"reason,omitempty"`
 
-	// State corresponds to the JSON schema field "state".
+	// A leaving data centre receives no new work.
 	State DataCentreRuleState `json:"state" yaml:"state"`
 }
 
@@ -107,13 +107,14 @@
 	// Defaults to 5.
 	MinSharePercent *float64 `json:"minSharePercent,omitempty,omitzero" yaml:"minSharePercent,omitempty"`
 
-	// Name corresponds to the JSON schema field "name".
+	// Unique name of the class.
 	Name string `json:"name" yaml:"name"`
 
 	// 0 is served first.
 	Priority int `json:"priority" yaml:"priority"`
 }
 
+// Requests of a service with a class and a way of repeating of their own.
 type Route struct {
 	// Request class of calls whose caller names none.
 	Class *string `json:"class,omitempty,omitzero" yaml:"class,omitempty"`
@@ -185,16 +186,16 @@
 	// IP address and port.
 	Address string `json:"address" yaml:"address"`
 
-	// Connections corresponds to the JSON schema field "connections".
+	// Connections of this upstream. Defaults to the service's.
 	Connections *int `json:"connections,omitempty,omitzero" yaml:"connections,omitempty"`
 
-	// DataCentre corresponds to the JSON schema field "dataCentre".
+	// Data centre of the upstream.
 	DataCentre string `json:"dataCentre" yaml:"dataCentre"`
 
 	// Name of the upstream, unique over all services.
 	Name string `json:"name" yaml:"name"`
 
-	// Slots corresponds to the JSON schema field "slots".
+	// Concurrent requests of this upstream. Defaults to the service's.
 	Slots *int `json:"slots,omitempty,omitzero" yaml:"slots,omitempty"`
 
 	// A leaving upstream receives no new work. Defaults to active.
@@ -214,19 +215,19 @@
 	// RFC 3339 time.
 	By time.Time `json:"by" yaml:"by"`
 
-	// From corresponds to the JSON schema field "from".
+	// Version that carries the traffic before.
 	From string `json:"from" yaml:"from"`
 
 	// Name of this move. A new name is needed to try the same version again. Defaults
 	// to from, an arrow and to.
 	Move *string `json:"move,omitempty,omitzero" yaml:"move,omitempty"`
 
-	// Service corresponds to the JSON schema field "service".
+	// Service whose traffic moves.
 	Service string `json:"service" yaml:"service"`
 
 	// Share of the first step. Defaults to 1.
 	StartPercent *float64 `json:"startPercent,omitempty,omitzero" yaml:"startPercent,omitempty"`
 
-	// To corresponds to the JSON schema field "to".
+	// Version that carries the traffic afterwards. It needs an active upstream.
 	To string `json:"to" yaml:"to"`
 }
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -69,8 +69,7 @@
 }
 
 type upstreamState struct {
-	crashes   []upstreamCrash
-	loopUntil time.Time
+	crashes []upstreamCrash
 }
 
 // Detector holds the evidence of one entry. It is safe for concurrent use and reads no clock.
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -104,7 +104,8 @@
 		if !NewPolicy().Decide(start, "s", a).Retry {
 			return
 		}
-		if a.Fault != NotRun && !(a.Fault == Lost && a.Idempotent) || a.Retried || a.AllOverload {
+		safe := a.Fault == NotRun || a.Fault == Lost && a.Idempotent
+		if !safe || a.Retried || a.AllOverload {
 			t.Fatalf("retried %+v", a)
 		}
 	})
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -25,8 +25,8 @@
 		id := rapid.String().Draw(t, "id")
 		low := rapid.Float64Range(0, 1).Draw(t, "low")
 		high := rapid.Float64Range(low, 1).Draw(t, "high")
-		a, b := Move{"m", "1", "2", low}, Move{"m", "1", "2", high}
-		if a.Version(id) != a.Version(id) || a.Version(id) == "2" && b.Version(id) == "1" {
+		a, same, b := Move{"m", "1", "2", low}, Move{"m", "1", "2", low}, Move{"m", "1", "2", high}
+		if a.Version(id) != same.Version(id) || a.Version(id) == "2" && b.Version(id) == "1" {
 			t.Fatal("a call changes its version")
 		}
 	})
