--- a/internal/idempotency/registry_test.go
+++ b/internal/idempotency/registry_test.go
@@ -131,6 +131,16 @@
 	assert.Zero(t, records+bytes, "nothing is kept past the retention")
 }
 
+// Guards against an opaque ID that runs again before the retention after its end has passed, or is kept for ever.
+func TestOpaqueRetentionCountsFromTheEnd(t *testing.T) {
+	r := newRegistry()
+	end := start.Add(5*time.Minute + 59*time.Second)
+	require.Equal(t, Run, r.Begin(start, "opaque").Kind)
+	r.Finish(end, "opaque", Outcome{Kind: Done})
+	assert.Equal(t, DoneWithoutAnswer, r.Begin(end.Add(10*time.Minute-time.Nanosecond), "opaque").Kind)
+	assert.Equal(t, Run, r.Begin(end.Add(11*time.Minute), "opaque").Kind)
+}
+
 // Guards against memory that grows with answers or IDs, and against bounds that forget that a call ran.
 func TestMemoryIsBounded(t *testing.T) {
 	r := NewRegistry(Config{Incarnation: inc, MaxRecords: 3200, AnswerBytes: 64 << 10, MaxAnswerBytes: 1 << 10}, start)
