--- a/inventory/snapshot_test.go
+++ b/inventory/snapshot_test.go
@@ -117,6 +117,19 @@
 	})
 }
 
+// Guards against a shard beyond its bound where hashing fills one shard more than the other.
+func TestUnevenHashingKeepsTheBound(t *testing.T) {
+	for set := range 100 {
+		members := make([]Upstream, 2*shardFill)
+		for i := range members {
+			members[i] = Upstream{Name: fmt.Sprintf("set-%d-%d", set, i)}
+		}
+		for _, shard := range shards(members) {
+			assert.LessOrEqual(t, len(shard), MaxShardUpstreams)
+		}
+	}
+}
+
 // Guards against a log record that decodes to another inventory, or to one that ignores what it does not know.
 func TestJSONRoundTrip(t *testing.T) {
 	inv := example(t, "kitami-hokusei-move.yaml")
