--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -45,6 +45,8 @@
 	a.Observe(start.Add(3*time.Second), b.Register(start.Add(2*time.Second), "s", "u2", []Fingerprints{poison})...)
 	assert.True(t, blocked(a, start.Add(4*time.Second), poison))
 	assert.True(t, blocked(b, start.Add(4*time.Second), poison))
+	b.Observe(start.Add(50*time.Second), first...)
+	assert.False(t, blocked(b, start.Add(63*time.Second), poison), "a fact that is passed on again extends no block")
 }
 
 // Guards against innocent requests that happened to run beside the poison and stay blocked.
