Add the transport to the upstreams of one pool

The data path needs a proof of which calls were not run, connections chosen by their last response and a bounded rate of new ones. The package keeps its own connections, since http.Transport resends requests by itself.

--- /dev/null
+++ b/internal/transport/transport.go
@@ -0,0 +1,209 @@
+package transport
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Config holds the limits of a Transport. Zero fields take the defaults named beside them.
+type Config struct {
+	MaxConns          int           // connections per upstream, 240
+	NewConnsPerSecond float64       // rate of new connections per upstream, 20
+	NewConnsBurst     int           // size of the token bucket for new connections, 20
+	DialTimeout       time.Duration // 1 s
+	IdleTimeout       time.Duration // idle connections are closed after this time, 90 s
+	RecentResponse    time.Duration // age of a response that makes a connection trusted, 5 s
+	SilentFloor       time.Duration // least silence before a connection is retired, 1 s
+	SilentLimit       int           // silent connections after which the upstream's idle ones are retired, 3
+	MaxHeaderBytes    int64         // limit of a response's header, 64 KiB
+
+	// Dial opens a connection. The default is a net.Dialer with TCP keep-alive.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.MaxConns, 240)
+	setDefault(&c.NewConnsPerSecond, 20)
+	setDefault(&c.NewConnsBurst, 20)
+	setDefault(&c.DialTimeout, time.Second)
+	setDefault(&c.IdleTimeout, 90*time.Second)
+	setDefault(&c.RecentResponse, 5*time.Second)
+	setDefault(&c.SilentFloor, time.Second)
+	setDefault(&c.SilentLimit, 3)
+	setDefault(&c.MaxHeaderBytes, 64<<10)
+	if c.Dial == nil {
+		c.Dial = (&net.Dialer{KeepAlive: 15 * time.Second}).DialContext
+	}
+	return c
+}
+
+func setDefault[T int | int64 | float64 | time.Duration](field *T, value T) {
+	if *field <= 0 {
+		*field = value
+	}
+}
+
+// Transport holds the connections to the upstreams of one pool.
+type Transport struct {
+	cfg Config
+
+	mu     sync.RWMutex
+	paths  map[string]*path
+	closed bool
+}
+
+// New returns a Transport without connections. It starts no goroutine; see Run.
+func New(cfg Config) *Transport {
+	return &Transport{cfg: cfg.withDefaults(), paths: map[string]*path{}}
+}
+
+// Response is an upstream's response. Body must be closed; a read error of Body is an *Error, and io.EOF means that
+// the body is complete.
+type Response struct {
+	*http.Response
+	Load    *LoadReport // nil when absent or malformed
+	Latency time.Duration
+	Reused  bool
+}
+
+// RoundTrip sends req to address once, and never again by itself. A call that isn't idempotent prefers a connection
+// that carried a response lately. The error is always an *Error.
+//
+// Only Method, URL (path and query), Host, Header, Body, ContentLength and Trailer of req are used. The Body may be
+// read until the response's Body is closed, and is closed by the transport. The end of ctx closes the connection and
+// fails reads of the response's body.
+func (t *Transport) RoundTrip(ctx context.Context, address string, req *http.Request, idempotent bool) (*Response, error) {
+	p, err := t.path(address)
+	if err != nil {
+		closeBody(req)
+		return nil, &Error{Kind: NothingWritten, Cause: CauseClosed, Address: address, Err: err}
+	}
+	c, err := p.acquire(ctx, !idempotent)
+	if err != nil {
+		closeBody(req)
+		return nil, err
+	}
+	return c.exchange(ctx, req)
+}
+
+// CheckConnect opens a connection to address and keeps it for later calls. It takes part in the bounded rate of new
+// connections. The error is an *Error; ConnectFailed after a lost connection is evidence of a crash.
+func (t *Transport) CheckConnect(ctx context.Context, address string) error {
+	p, err := t.path(address)
+	if err != nil {
+		return &Error{Kind: NothingWritten, Cause: CauseClosed, Address: address, Err: err}
+	}
+	c, err := p.connect(ctx)
+	if err != nil {
+		return err
+	}
+	p.release(c)
+	return nil
+}
+
+// RetireIdle closes all idle connections to address and marks the busy ones to be closed after their current call.
+func (t *Transport) RetireIdle(address string) {
+	if p := t.lookup(address); p != nil {
+		p.retire()
+	}
+}
+
+// Forget retires the connections to an address that left the pool. Running calls finish.
+func (t *Transport) Forget(address string) {
+	t.mu.Lock()
+	p := t.paths[address]
+	delete(t.paths, address)
+	t.mu.Unlock()
+	if p != nil {
+		p.shut()
+	}
+}
+
+// Close retires all connections. Running calls finish, later ones fail.
+func (t *Transport) Close() {
+	t.mu.Lock()
+	paths := t.paths
+	t.paths = map[string]*path{}
+	t.closed = true
+	t.mu.Unlock()
+	for _, p := range paths {
+		p.shut()
+	}
+}
+
+// Stats describes the connections to one upstream.
+type Stats struct {
+	Open    int // connections, those being dialled included
+	Idle    int
+	Dials   uint64 // connection attempts since the start
+	Silent  uint64 // connections retired for silence since the start
+	Retired uint64 // idle connections closed in bulk since the start
+}
+
+// Stats returns the counters of address.
+func (t *Transport) Stats(address string) Stats {
+	p := t.lookup(address)
+	if p == nil {
+		return Stats{}
+	}
+	return p.stats()
+}
+
+// Run calls Sweep four times a second until ctx ends.
+func (t *Transport) Run(ctx context.Context) {
+	tick := time.NewTicker(250 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			t.Sweep(now)
+		}
+	}
+}
+
+// Sweep retires silent connections and closes expired idle ones.
+func (t *Transport) Sweep(now time.Time) {
+	t.mu.RLock()
+	paths := make([]*path, 0, len(t.paths))
+	for _, p := range t.paths {
+		paths = append(paths, p)
+	}
+	t.mu.RUnlock()
+	for _, p := range paths {
+		p.sweep(now)
+	}
+}
+
+func (t *Transport) lookup(address string) *path {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.paths[address]
+}
+
+func (t *Transport) path(address string) (*path, error) {
+	if p := t.lookup(address); p != nil {
+		return p, nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		return nil, errClosed
+	}
+	p := t.paths[address]
+	if p == nil {
+		p = newPath(&t.cfg, address)
+		t.paths[address] = p
+	}
+	return p, nil
+}
+
+func closeBody(req *http.Request) {
+	if req.Body != nil {
+		_ = req.Body.Close()
+	}
+}
