--- /dev/null
+++ b/internal/proxy/attempt.go
@@ -0,0 +1,223 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"boragehinge.example/boragehinge/internal/transport"
+)
+
+// hopMargin is taken off the deadline that is passed on, for the way back of the response.
+const hopMargin = time.Millisecond
+
+// attempt is one try of a call: at an own upstream, or at the entry that owns the pool.
+type attempt struct {
+	call     *Call
+	pool     Pool
+	grant    Grant
+	granted  bool
+	finished bool
+	started  time.Time
+	latency  time.Duration
+	cancel   context.CancelFunc  // set for hedged attempts
+	index    int                 // 1 for a hedge
+	resp     *transport.Response // nil without a response
+	tried    Tried               // valid when resp is nil
+	upstream string
+}
+
+// attemptAt makes one attempt without hedging.
+func (p *Proxy) attemptAt(ctx context.Context, r *http.Request, call *Call, pool Pool, body *replay) *attempt {
+	if pool.Owner != "" {
+		return p.attemptForward(ctx, r, call, pool, body)
+	}
+	return p.attemptLocal(ctx, r, call, pool, body)
+}
+
+// attemptLocal takes a grant and makes a round trip to its upstream.
+func (p *Proxy) attemptLocal(ctx context.Context, r *http.Request, call *Call, pool Pool, body *replay) *attempt {
+	a := &attempt{call: call, pool: pool}
+	grant, err := p.deps.Slots.Acquire(ctx, pool.ID, call)
+	if err != nil {
+		a.tried = refusedBySlots(ctx, pool, err)
+		return a
+	}
+	a.grant, a.granted, a.upstream = grant, true, grant.Upstream
+	if call.onGrant != nil {
+		call.onGrant(grant.Upstream)
+	}
+	completed := false
+	defer func() {
+		if !completed {
+			a.finish(p, ResultFailure)
+		}
+	}()
+	p.roundTrip(ctx, a, r, body)
+	completed = true
+	return a
+}
+
+// roundTrip fills in the response or what was tried.
+func (p *Proxy) roundTrip(ctx context.Context, a *attempt, r *http.Request, body *replay) {
+	remaining := time.Until(a.call.Deadline) - hopMargin
+	if remaining < time.Millisecond {
+		a.fail(p, ResultCancelled, Tried{Outcome: NotRun, Reason: ReasonDeadline})
+		return
+	}
+	stream := body.open()
+	req := upstreamRequest(r, a.call, stream, remaining)
+	a.started = time.Now()
+	resp, err := p.deps.Upstreams.RoundTrip(ctx, a.grant.Address, req, a.call.Idempotent)
+	a.latency = time.Since(a.started)
+	if err == nil {
+		a.resp = resp
+		return
+	}
+	stream.stop()
+	kind, tried := classify(err)
+	if kind == ResultCrashed {
+		p.deps.Poison.ConnectionLost(time.Now(), a.call.Fingerprint(), a.grant.Upstream)
+	}
+	a.failWith(p, kind, tried, err)
+}
+
+func (a *attempt) fail(p *Proxy, kind ResultKind, t Tried) { a.failWith(p, kind, t, nil) }
+
+func (a *attempt) failWith(p *Proxy, kind ResultKind, t Tried, err error) {
+	t.Pool = a.pool
+	t.Upstream = a.upstream
+	a.tried = t
+	var e *transport.Error
+	if errors.As(err, &e) {
+		a.finishWith(p, Result{Kind: kind, Status: e.Status, Latency: a.latency, Total: a.latency, Report: e.Load})
+		return
+	}
+	a.finish(p, kind)
+}
+
+// finish ends an attempt once; later calls have no effect.
+func (a *attempt) finish(p *Proxy, kind ResultKind) {
+	res := Result{Kind: kind, Latency: a.latency}
+	if !a.started.IsZero() {
+		res.Total = time.Since(a.started)
+	}
+	if a.resp != nil {
+		res.Status = a.resp.StatusCode
+		res.Report = a.resp.Load
+	}
+	a.finishWith(p, res)
+}
+
+func (a *attempt) finishWith(p *Proxy, res Result) {
+	if a.finished {
+		return
+	}
+	a.finished = true
+	if a.resp != nil {
+		_ = a.resp.Body.Close()
+	}
+	if a.cancel != nil {
+		a.cancel()
+	}
+	if a.granted {
+		p.deps.Slots.Finish(a.grant, a.call, res)
+	}
+}
+
+// refusedBySlots explains why no grant was given. Nothing was sent, so the call is proved not run.
+func refusedBySlots(ctx context.Context, pool Pool, err error) Tried {
+	t := Tried{Pool: pool, Outcome: NotRun, Reason: ReasonCancelled}
+	var refusal *Refusal
+	switch {
+	case errors.As(err, &refusal):
+		t.Reason = refusal.Reason
+		t.RetryAfter = refusal.RetryAfter
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		t.Reason = ReasonDeadline
+	}
+	return t
+}
+
+// classify translates an error of the transport. An error of another type proves nothing.
+func classify(err error) (ResultKind, Tried) {
+	var e *transport.Error
+	if !errors.As(err, &e) {
+		return ResultFailure, Tried{Outcome: Unknown, Reason: ReasonMalformed}
+	}
+	switch e.Kind {
+	case transport.UpstreamNotRun:
+		return ResultNotRun, Tried{Outcome: NotRun, Reason: ReasonUpstreamRefused, RetryAfter: e.RetryAfter}
+	case transport.ConnectFailed:
+		return notRunKind(e.Cause, ResultConnectFailed), Tried{Outcome: NotRun, Reason: reasonOf(e.Cause, ReasonConnectFailed)}
+	case transport.NothingWritten:
+		return notRunKind(e.Cause, ResultNotRun), Tried{Outcome: NotRun, Reason: reasonOf(e.Cause, ReasonConnectionLost)}
+	}
+	return unknownKind(e.Cause), Tried{Outcome: Unknown, Reason: reasonOf(e.Cause, ReasonMalformed)}
+}
+
+func notRunKind(c transport.Cause, other ResultKind) ResultKind {
+	switch c {
+	case transport.CauseDeadline, transport.CauseCancelled, transport.CauseRequestBody, transport.CauseClosed:
+		return ResultCancelled
+	}
+	return other
+}
+
+func unknownKind(c transport.Cause) ResultKind {
+	switch c {
+	case transport.CauseConnectionLost:
+		return ResultCrashed
+	case transport.CauseDeadline, transport.CauseSilent:
+		return ResultTimedOut
+	case transport.CauseCancelled, transport.CauseRequestBody:
+		return ResultCancelled
+	}
+	return ResultFailure
+}
+
+func reasonOf(c transport.Cause, other Reason) Reason {
+	switch c {
+	case transport.CauseDeadline:
+		return ReasonDeadline
+	case transport.CauseCancelled:
+		return ReasonCancelled
+	case transport.CauseSilent:
+		return ReasonSilent
+	case transport.CauseConnectionLost:
+		return ReasonConnectionLost
+	case transport.CauseRequestBody:
+		return ReasonRequestBody
+	case transport.CauseClosed:
+		return ReasonStopping
+	}
+	return other
+}
+
+// upstreamRequest builds the request of one attempt. The header values of r are shared, so r isn't changed.
+func upstreamRequest(r *http.Request, call *Call, body *stream, remaining time.Duration) *http.Request {
+	h := make(http.Header, len(r.Header)+6)
+	copyEndToEnd(h, r.Header)
+	setNonEmpty(h, HeaderRequestID, call.RequestID)
+	setNonEmpty(h, HeaderCustomer, call.Customer)
+	setNonEmpty(h, HeaderClass, call.Class)
+	h[HeaderDeadline] = []string{strconv.FormatInt(remaining.Milliseconds(), 10)}
+	h[HeaderDepth] = []string{strconv.Itoa(call.Depth + 1)}
+	return newRequest(r, h, body)
+}
+
+func newRequest(r *http.Request, h http.Header, body *stream) *http.Request {
+	if _, given := h["User-Agent"]; !given {
+		h["User-Agent"] = noUserAgent
+	}
+	req := &http.Request{Method: r.Method, URL: r.URL, Host: r.Host, Header: h, ContentLength: body.length, Body: http.NoBody}
+	if body.length != 0 {
+		req.Body = body
+	}
+	return req
+}
+
+// noUserAgent keeps net/http from adding its own name.
+var noUserAgent = []string{""}
--- /dev/null
+++ b/internal/proxy/check.go
@@ -0,0 +1,188 @@
+package proxy
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Finding is one fault of a request. All findings are reported in one response.
+type Finding struct {
+	Field   string `json:"field"`
+	Message string `json:"message"`
+}
+
+const (
+	maxDeadline    = 600_000 * time.Millisecond
+	maxRequestID   = 128
+	maxNameLength  = 128
+	maxDepth       = 16 // call chains are up to 6 deep; more is taken for a loop
+	maxTargetBytes = 8 << 10
+)
+
+// checker collects the findings of one request.
+type checker struct {
+	h        http.Header
+	findings []Finding
+}
+
+func (k *checker) add(field, format string, args ...any) {
+	k.findings = append(k.findings, Finding{field, fmt.Sprintf(format, args...)})
+}
+
+// single returns the value of a header that may be given once.
+func (k *checker) single(name string) string {
+	values := k.h[name]
+	if len(values) == 0 {
+		return ""
+	}
+	if len(values) > 1 {
+		k.add(name, "is given %d times, at most once is allowed", len(values))
+		return ""
+	}
+	if values[0] == "" {
+		k.add(name, "is empty")
+	}
+	return values[0]
+}
+
+func (k *checker) boolean(name string) (value, given bool) {
+	switch s := k.single(name); s {
+	case "":
+		return false, false
+	case "true":
+		return true, true
+	case "false":
+		return false, true
+	default:
+		k.add(name, "%q is neither true nor false", clip(s))
+		return false, false
+	}
+}
+
+// integer returns a number between low and high, or 0 when it is absent.
+func (k *checker) integer(name string, low, high int64) int64 {
+	s := k.single(name)
+	if s == "" {
+		return 0
+	}
+	n, err := strconv.ParseInt(s, 10, 64)
+	if err != nil || n < low || n > high || s[0] == '+' {
+		k.add(name, "%q is not a whole number from %d to %d", clip(s), low, high)
+		return 0
+	}
+	return n
+}
+
+func (k *checker) visible(name string, limit int) string {
+	s := k.single(name)
+	if len(s) > limit {
+		k.add(name, "has %d characters, at most %d are allowed", len(s), limit)
+		return ""
+	}
+	for i := range len(s) {
+		if s[i] <= ' ' || s[i] > '~' {
+			k.add(name, "has a character that is not visible ASCII at position %d", i+1)
+			return ""
+		}
+	}
+	return s
+}
+
+// clip shortens a value that a message repeats.
+func clip(s string) string {
+	if len(s) > 40 {
+		return s[:40] + "..."
+	}
+	return s
+}
+
+// newCall validates a caller's request and applies the defaults. It returns either a call or all findings.
+func (p *Proxy) newCall(r *http.Request, now time.Time) (*Call, []Finding) {
+	k := checker{h: r.Header}
+	k.shape(r, p.cfg.MaxBody)
+	target, found := p.deps.Directory.Resolve(r)
+	if !found {
+		k.add("path", "no service matches host %q and path %q", clip(r.Host), clip(r.URL.Path))
+	}
+	c := &Call{Service: target.Service, Route: target.Route, Received: now, Attempt: 1, Method: r.Method, Path: r.URL.Path}
+	c.RequestID = k.visible(HeaderRequestID, maxRequestID)
+	c.Customer = k.visible(HeaderCustomer, maxNameLength)
+	if c.Customer != "" && !p.deps.Directory.KnownCustomer(c.Customer) {
+		k.add(HeaderCustomer, "%q is not in the configuration", clip(c.Customer))
+	}
+	k.class(p.deps.Directory, c, target, found)
+	c.Depth = int(k.integer(HeaderDepth, 0, maxDepth))
+	c.FirstAttempt, _ = k.boolean(HeaderFirstAttempt)
+	c.Idempotent = k.idempotent(r.Method, target)
+	if len(k.findings) > 0 {
+		return nil, k.findings
+	}
+	return c, nil
+}
+
+// class sets the fields that depend on the request class.
+func (k *checker) class(d Directory, c *Call, target Target, found bool) {
+	name := k.visible(HeaderClass, maxNameLength)
+	deadline := time.Duration(k.integer(HeaderDeadline, 1, maxDeadline.Milliseconds())) * time.Millisecond
+	if name == "" {
+		name = target.Class
+	}
+	class, ok := d.Class(name)
+	if !ok && found {
+		k.add(HeaderClass, "%q is not in the configuration", clip(name))
+	}
+	if deadline == 0 {
+		deadline = class.Deadline
+	}
+	c.Class = class.Name
+	c.Priority = class.Priority
+	c.Hedgeable = class.Hedge
+	c.Deadline = c.Received.Add(min(deadline, maxDeadline))
+}
+
+func (k *checker) idempotent(method string, target Target) bool {
+	if value, given := k.boolean(HeaderIdempotent); given {
+		return value
+	}
+	if target.Idempotent != nil {
+		return *target.Idempotent
+	}
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPut, http.MethodDelete:
+		return true
+	}
+	return false
+}
+
+// shape refuses requests that two HTTP implementations could read differently, and those over the limits. net/http has
+// refused before: differing lengths, encodings other than chunked, folded lines, and blanks before a colon.
+func (k *checker) shape(r *http.Request, maxBody int64) {
+	if r.Method == http.MethodConnect || r.Method == http.MethodTrace {
+		k.add("method", "%s is not supported", r.Method)
+	}
+	if len(r.RequestURI) > maxTargetBytes {
+		k.add("path", "has %d bytes, at most %d are allowed", len(r.RequestURI), maxTargetBytes)
+	}
+	if r.URL.Path == "" || r.URL.Path[0] != '/' {
+		k.add("path", "does not begin with a slash")
+	}
+	if strings.ContainsAny(r.URL.Path, "\x00\r\n\\") {
+		k.add("path", "has an encoded control character or a backslash")
+	}
+	if r.Host == "" {
+		k.add("Host", "is missing")
+	}
+	if r.ContentLength > maxBody {
+		k.add("Content-Length", "is %d bytes, at most %d are allowed", r.ContentLength, maxBody)
+	}
+	if named := namedByConnection(r.Header); named != nil {
+		for name := range named {
+			if strings.HasPrefix(name, headerPrefix) || name == "Content-Length" || name == "Host" {
+				k.add("Connection", "names %s, which is not a header of one connection", name)
+			}
+		}
+	}
+}
--- a/internal/transport/alive_unix.go
+++ b/internal/transport/alive_unix.go
@@ -2,7 +2,10 @@
 
 package transport
 
-import "syscall"
+import (
+	"crypto/tls"
+	"syscall"
+)
 
 // alive reports whether an idle connection is usable: the peer hasn't closed it, and no bytes arrived that belong to no
 // request. A connection that isn't backed by a descriptor is taken as usable.
@@ -10,7 +13,12 @@
 	if c.br.Buffered() > 0 {
 		return false
 	}
-	sc, ok := c.nc.(syscall.Conn)
+	nc := c.nc
+	secure, isTLS := nc.(*tls.Conn)
+	if isTLS {
+		nc = secure.NetConn()
+	}
+	sc, ok := nc.(syscall.Conn)
 	if !ok {
 		return true
 	}
@@ -18,12 +26,14 @@
 	if err != nil {
 		return false
 	}
-	quiet := false
+	usable := false
 	var buf [1]byte
 	err = raw.Read(func(fd uintptr) bool {
-		_, readErr := syscall.Read(int(fd), buf[:])
-		quiet = readErr == syscall.EAGAIN || readErr == syscall.EWOULDBLOCK
+		n, _, readErr := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK)
+		quiet := readErr == syscall.EAGAIN || readErr == syscall.EWOULDBLOCK
+		// TLS 1.3 peers send session tickets after the handshake, so pending bytes prove nothing there.
+		usable = quiet || isTLS && readErr == nil && n > 0
 		return true
 	})
-	return err == nil && quiet
+	return err == nil && usable
 }
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -103,6 +103,7 @@
 	c.sent.Store(false)
 	x.stop = context.AfterFunc(ctx, c.abort)
 	x.start = time.Now()
+	x.trackBody()
 	if x.writesInline() {
 		x.write()
 		if x.writeErr != nil && !x.mayHaveResponse() {
@@ -128,7 +129,8 @@
 	reused    bool
 	writeErr  error         // valid after writeDone
 	writeDone chan struct{} // nil when the request was written inline
-	bodyErr   error         // read error of the request's body, valid after writeDone
+	body      *trackedBody  // nil without a request body
+	written   int64         // valid after end
 	ended     bool
 }
 
@@ -136,20 +138,31 @@
 // goroutine, since an upstream may respond, and stop reading, before the body ends.
 const inlineBody = 16 << 10
 
+// MemoryBody marks request bodies whose reads never block. Small ones are written without a goroutine.
+type MemoryBody interface {
+	io.ReadCloser
+	InMemory()
+}
+
 func (x *exchange) writesInline() bool {
-	if x.req.Body == nil || x.req.Body == http.NoBody {
+	if x.body == nil {
 		return true
 	}
-	_, replayed := x.req.Body.(interface{ InMemory() })
-	return replayed && x.req.ContentLength >= 0 && x.req.ContentLength <= inlineBody
+	_, memory := x.body.ReadCloser.(MemoryBody)
+	return memory && x.req.ContentLength >= 0 && x.req.ContentLength <= inlineBody
 }
 
-func (x *exchange) write() {
-	body := x.req.Body
-	if body != nil && body != http.NoBody {
-		x.req = x.req.WithContext(x.ctx)
-		x.req.Body = &trackedBody{ReadCloser: body, x: x}
+func (x *exchange) trackBody() {
+	if x.req.Body == nil || x.req.Body == http.NoBody {
+		return
 	}
+	x.body = &trackedBody{ReadCloser: x.req.Body}
+	tracked := *x.req
+	tracked.Body = x.body
+	x.req = &tracked
+}
+
+func (x *exchange) write() {
 	err := x.req.Write(x.c.bw)
 	if err == nil {
 		err = x.c.bw.Flush()
@@ -163,7 +176,7 @@
 func (x *exchange) writeInBackground() {
 	defer close(x.writeDone)
 	x.write()
-	if x.writeErr != nil && x.bodyErr != nil {
+	if x.writeErr != nil && x.body.err != nil {
 		// The request can't be completed, so the wait for its response must end.
 		x.c.abort()
 	}
@@ -171,20 +184,20 @@
 
 // mayHaveResponse reports whether an upstream that stopped reading may have responded before.
 func (x *exchange) mayHaveResponse() bool {
-	return x.c.written.Load() > 0 && x.bodyErr == nil && x.ctx.Err() == nil
+	return x.c.written.Load() > 0 && !x.requestBodyFailed() && x.ctx.Err() == nil
 }
 
 // trackedBody notes errors of the request's body, to tell them from errors of the connection.
 type trackedBody struct {
 	io.ReadCloser
-	x *exchange
+	err error // owned by the writer of the request
 }
 
 // Read implements io.Reader.
 func (b *trackedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if err != nil && err != io.EOF {
-		b.x.bodyErr = err
+		b.err = err
 	}
 	return n, err
 }
--- a/internal/transport/path.go
+++ b/internal/transport/path.go
@@ -209,6 +209,7 @@
 // release makes a connection available again after a complete exchange.
 func (p *path) release(c *conn) {
 	p.mu.Lock()
+	c.lastResponse = time.Now()
 	if p.shutDown || c.retired {
 		p.mu.Unlock()
 		p.discard(c)
--- a/internal/transport/response.go
+++ b/internal/transport/response.go
@@ -28,7 +28,11 @@
 	out := &Response{Response: resp, Latency: now.Sub(x.start), Reused: x.reused}
 	x.c.path.responded(x.c, now, out.Latency)
 	out.Load = loadReport(resp.Header)
-	resp.Body = &body{rc: resp.Body, x: x, reusable: x.reusable(resp)}
+	if resp.Body == http.NoBody {
+		x.end(x.reusable(resp))
+	} else {
+		resp.Body = &body{rc: resp.Body, x: x, reusable: x.reusable(resp)}
+	}
 	if resp.Header.Get(HeaderNotRun) == "true" {
 		return nil, x.refused(out)
 	}
@@ -91,19 +95,20 @@
 
 // fail ends the exchange, closes the connection and classifies the error.
 func (x *exchange) fail(err error) error {
+	cause := x.cause(err)
 	x.end(false)
 	kind := Unknown
-	if x.c.written.Load() == 0 {
+	if x.written == 0 {
 		kind = NothingWritten
 	}
-	return x.newError(kind, x.cause(err), err)
+	return x.newError(kind, cause, err)
 }
 
 func (x *exchange) newError(kind Kind, cause Cause, err error) *Error {
 	if cause == CauseSilent {
 		err = errSilent
 	}
-	return &Error{Kind: kind, Cause: cause, Address: x.c.path.address, Reused: x.reused, Written: x.c.written.Load(), Err: err}
+	return &Error{Kind: kind, Cause: cause, Address: x.c.path.address, Reused: x.reused, Written: x.written, Err: err}
 }
 
 func (x *exchange) cause(err error) Cause {
@@ -129,7 +134,25 @@
 	if !x.writeEnded() {
 		return false
 	}
-	return x.bodyErr != nil
+	return x.body != nil && x.body.err != nil
+}
+
+// sentGrace is the time in which a goroutine that has written the last byte reports it. The response may be read first.
+const sentGrace = 50 * time.Millisecond
+
+// requestSent reports whether the whole request was written, so that the next one may follow on the connection.
+func (x *exchange) requestSent() bool {
+	if x.c.sent.Load() || x.writeDone == nil {
+		return x.c.sent.Load()
+	}
+	timer := time.NewTimer(sentGrace)
+	defer timer.Stop()
+	select {
+	case <-x.writeDone:
+		return x.c.sent.Load()
+	case <-timer.C:
+		return false
+	}
 }
 
 func (x *exchange) writeEnded() bool {
@@ -162,9 +185,10 @@
 		return
 	}
 	x.ended = true
+	x.written = x.c.written.Load()
 	detached := x.stop()
 	// Bytes after the response belong to no request; they must not become the response of the next one.
-	keep = keep && detached && x.writeEnded() && x.writeErr == nil && x.c.br.Buffered() == 0
+	keep = keep && detached && x.c.br.Buffered() == 0 && x.requestSent()
 	if keep {
 		x.c.path.release(x.c)
 	} else {
@@ -202,11 +226,6 @@
 
 // Close implements io.Closer. It closes the connection unless the body was read to its end.
 func (b *body) Close() error {
-	if b.err == nil {
-		if _, err := b.Read(nil); err == nil && b.rc == http.NoBody {
-			b.err = io.EOF
-		}
-	}
 	if b.err == nil {
 		b.err = b.x.newError(Unknown, CauseCancelled, os.ErrClosed)
 	}
