--- a/internal/proxy/replay.go
+++ b/internal/proxy/replay.go
@@ -41,6 +41,7 @@
 		return &replay{prefix: prefix, length: int64(len(prefix))}, nil
 	case err != nil:
 		_ = guarded.Close()
+		out.w.Header()["Connection"] = []string{"close"}
 		return nil, err
 	}
 	out.stream(guarded)
@@ -54,25 +55,24 @@
 	_ = o.control.EnableFullDuplex()
 }
 
-// readPrefix reads until the limit, where it returns nil, or until the end, where it returns io.EOF.
+// readPrefix reads until more than limit bytes are there, where it returns nil, or until the end, where it returns
+// io.EOF. A length below zero is unknown.
 func readPrefix(r io.Reader, length, limit int64) ([]byte, error) {
 	size := length
 	if length < 0 {
 		size = min(limit, 4<<10)
 	}
+	// One byte more than expected, so that the read that finds the end needs no growth.
 	buf := make([]byte, 0, size+1)
-	for int64(len(buf)) < limit {
+	for int64(len(buf)) <= limit {
 		if len(buf) == cap(buf) {
 			buf = append(buf, 0)[:len(buf)]
 		}
-		n, err := r.Read(buf[len(buf):min(int64(cap(buf)), limit)])
+		n, err := r.Read(buf[len(buf):min(int64(cap(buf)), limit+1)])
 		buf = buf[:len(buf)+n]
 		if err != nil {
 			return buf, err
 		}
-		if int64(len(buf)) == length {
-			return buf, io.EOF
-		}
 	}
 	return buf, nil
 }
