--- a/internal/proxy/check.go
+++ b/internal/proxy/check.go
@@ -16,9 +16,8 @@
 
 const (
 	maxDeadline    = 600_000 * time.Millisecond
-	maxRequestID   = 128
-	maxNameLength  = 128
-	maxDepth       = 16 // call chains are up to 6 deep; more is taken for a loop
+	maxNameLength  = 128 // of request IDs, customers and classes
+	maxDepth       = 16  // call chains are up to 6 deep; more is taken for a loop
 	maxTargetBytes = 8 << 10
 )
 
@@ -76,10 +75,10 @@
 	return n
 }
 
-func (k *checker) visible(name string, limit int) string {
+func (k *checker) visible(name string) string {
 	s := k.single(name)
-	if len(s) > limit {
-		k.add(name, "has %d characters, at most %d are allowed", len(s), limit)
+	if len(s) > maxNameLength {
+		k.add(name, "has %d characters, at most %d are allowed", len(s), maxNameLength)
 		return ""
 	}
 	for i := range len(s) {
@@ -108,8 +107,8 @@
 		k.add("path", "no service matches host %q and path %q", clip(r.Host), clip(r.URL.Path))
 	}
 	c := &Call{Service: target.Service, Route: target.Route, Received: now, Attempt: 1, Method: r.Method, Path: r.URL.Path}
-	c.RequestID = k.visible(HeaderRequestID, maxRequestID)
-	c.Customer = k.visible(HeaderCustomer, maxNameLength)
+	c.RequestID = k.visible(HeaderRequestID)
+	c.Customer = k.visible(HeaderCustomer)
 	if c.Customer != "" && !p.deps.Directory.KnownCustomer(c.Customer) {
 		k.add(HeaderCustomer, "%q is not in the configuration", clip(c.Customer))
 	}
@@ -125,7 +124,7 @@
 
 // class sets the fields that depend on the request class.
 func (k *checker) class(d Directory, c *Call, target Target, found bool) {
-	name := k.visible(HeaderClass, maxNameLength)
+	name := k.visible(HeaderClass)
 	deadline := time.Duration(k.integer(HeaderDeadline, 1, maxDeadline.Milliseconds())) * time.Millisecond
 	if name == "" {
 		name = target.Class
--- a/internal/proxy/decide.go
+++ b/internal/proxy/decide.go
@@ -40,15 +40,15 @@
 type VerdictKind int
 
 const (
-	// VerdictRun: the ID is new and recorded; the call runs here, and Finish must be called.
+	// VerdictRun means that the ID is new and recorded; the call runs here, and Finish must be called.
 	VerdictRun VerdictKind = iota
-	// VerdictWait: the first attempt is running; Done is closed when Begin should be asked again.
+	// VerdictWait means that the first attempt is running; Done is closed when Begin should be asked again.
 	VerdictWait
-	// VerdictReplay: the call has finished with Answer.
+	// VerdictReplay means that the call has finished with Answer.
 	VerdictReplay
-	// VerdictUnknown: the ID's window has expired, or its registrar is gone.
+	// VerdictUnknown means that the ID's window has expired, or its registrar is gone.
 	VerdictUnknown
-	// VerdictElsewhere: the entry at Peer registers the ID.
+	// VerdictElsewhere means that the entry at Peer registers the ID.
 	VerdictElsewhere
 )
 
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -42,7 +42,7 @@
 	p.forward(ctx, a, r, body, peer, forwardRegister)
 	defer a.finish(p, ResultCancelled)
 	if a.resp != nil {
-		if err := out.deliver(ctx, a, nil); err != nil {
+		if err := out.deliver(a, nil); err != nil {
 			out.abort(err)
 		}
 		return
@@ -180,7 +180,7 @@
 		out.refuse(conclude([]Tried{a.tried}))
 		return
 	}
-	if err := out.deliver(ctx, a, nil); err != nil {
+	if err := out.deliver(a, nil); err != nil {
 		out.abort(err)
 	}
 }
@@ -207,11 +207,11 @@
 	if mode == forwardRun && r.Header.Get(HeaderPool) == "" {
 		k.add(HeaderPool, "is missing")
 	}
-	c.RequestID = k.visible(HeaderRequestID, maxRequestID)
-	c.Customer = k.visible(HeaderCustomer, maxNameLength)
-	c.Service = k.visible(HeaderService, maxNameLength)
-	c.Route = k.visible(HeaderRoute, maxNameLength)
-	c.Version = k.visible(HeaderVersion, maxNameLength)
+	c.RequestID = k.visible(HeaderRequestID)
+	c.Customer = k.visible(HeaderCustomer)
+	c.Service = k.visible(HeaderService)
+	c.Route = k.visible(HeaderRoute)
+	c.Version = k.visible(HeaderVersion)
 	c.Idempotent, _ = k.boolean(HeaderIdempotent)
 	c.FirstAttempt, _ = k.boolean(HeaderFirstAttempt)
 	c.Attempt = max(1, int(k.integer(HeaderAttempt, 1, 100)))
@@ -219,7 +219,7 @@
 	if excluded := k.single(HeaderExclude); excluded != "" {
 		c.Exclude = strings.Split(excluded, ",")
 	}
-	class, _ := p.deps.Directory.Class(k.visible(HeaderClass, maxNameLength))
+	class, _ := p.deps.Directory.Class(k.visible(HeaderClass))
 	c.Class, c.Priority, c.Hedgeable = class.Name, class.Priority, class.Hedge
 	deadline := k.integer(HeaderDeadline, 1, maxDeadline.Milliseconds())
 	if deadline == 0 && len(k.findings) == 0 {
--- a/internal/proxy/replay.go
+++ b/internal/proxy/replay.go
@@ -36,7 +36,7 @@
 	prefix, err := readPrefix(guarded, r.ContentLength, p.cfg.ReplayLimit)
 	call.bodyPrefix = prefix
 	switch {
-	case err == io.EOF:
+	case errors.Is(err, io.EOF):
 		_ = guarded.Close()
 		return &replay{prefix: prefix, length: int64(len(prefix))}, nil
 	case err != nil:
--- a/internal/proxy/respond.go
+++ b/internal/proxy/respond.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"context"
 	"encoding/json"
 	"errors"
 	"io"
@@ -46,8 +45,8 @@
 	w       http.ResponseWriter
 	r       *http.Request
 	control *http.ResponseController
-	call    *Call // nil until the request is validated
-	started bool  // the response's header was passed to w
+	call    *Call       // nil until the request is validated
+	started bool        // the response's header was passed to w
 	summary string      // of the pool, for the response to a forward
 	upload  *callerBody // nil unless the request's body is streamed
 }
@@ -122,7 +121,7 @@
 
 // deliver copies an attempt's response to the caller and to the recorder, and ends the attempt. An error means that the
 // caller has no complete response, and that it must be aborted.
-func (o *responder) deliver(ctx context.Context, a *attempt, rec *recorder) error {
+func (o *responder) deliver(a *attempt, rec *recorder) error {
 	resp := a.resp
 	h := o.w.Header()
 	copyEndToEnd(h, resp.Header)
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -53,7 +53,7 @@
 		return
 	}
 	defer a.finish(p, ResultCancelled)
-	err := out.deliver(ctx, a, rec)
+	err := out.deliver(a, rec)
 	if err == nil {
 		p.observe(call, Done)
 		return
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -32,6 +32,7 @@
 	silent     atomic.Bool // closed by sweep
 
 	written   atomic.Int64 // bytes of the current request
+	readErr   error        // error of the last read, owned by the reader of the response
 	headerMax int64        // bytes that may still be read for a response's header; <0 means no limit
 }
 
@@ -61,6 +62,7 @@
 	}
 	c.readSince.Store(time.Now().UnixNano())
 	n, err := c.nc.Read(b)
+	c.readErr = err
 	c.readSince.Store(0)
 	if n > 0 {
 		c.path.progressed(c, time.Now())
--- a/internal/transport/errors.go
+++ b/internal/transport/errors.go
@@ -11,13 +11,13 @@
 type Kind int
 
 const (
-	// Unknown: bytes of the request were written and no complete response arrived. The request may have run.
+	// Unknown means that bytes of the request were written and no complete response arrived. The request may have run.
 	Unknown Kind = iota
-	// ConnectFailed: no connection was established. The request didn't run.
+	// ConnectFailed means that no connection was established. The request didn't run.
 	ConnectFailed
-	// NothingWritten: no byte of the request was written. The request didn't run.
+	// NothingWritten means that no byte of the request was written. The request didn't run.
 	NothingWritten
-	// UpstreamNotRun: the upstream responded with Boragehinge-Not-Run: true. The request didn't run.
+	// UpstreamNotRun means that the upstream responded with Boragehinge-Not-Run: true. The request didn't run.
 	UpstreamNotRun
 )
 
--- a/internal/transport/response.go
+++ b/internal/transport/response.go
@@ -19,7 +19,7 @@
 const maxRefusalBody = 4 << 10
 
 func (x *exchange) readResponse() (*Response, error) {
-	resp, err := x.readFinal()
+	resp, err := x.readFinal() //nolint:bodyclose // closed through the wrapper below, or by the caller
 	x.c.headerMax = -1
 	if err != nil {
 		return nil, x.fail(err)
@@ -119,7 +119,7 @@
 		return contextCause(x.ctx)
 	case x.requestBodyFailed():
 		return CauseRequestBody
-	case isConnectionLost(err):
+	case isConnectionLost(err), isConnectionLost(x.c.readErr):
 		return CauseConnectionLost
 	}
 	var netErr net.Error
@@ -210,17 +210,12 @@
 		return 0, b.err
 	}
 	n, err := b.rc.Read(p)
-	switch {
-	case err == nil:
-	case err == io.EOF:
+	if err == io.EOF {
 		b.err = io.EOF
 		b.x.end(b.reusable)
-	default:
+	} else if err != nil {
 		b.err = b.x.fail(err)
 	}
-	if n > 0 && b.err != nil {
-		return n, nil
-	}
 	return n, b.err
 }
 
@@ -229,6 +224,6 @@
 	if b.err == nil {
 		b.err = b.x.newError(Unknown, CauseCancelled, os.ErrClosed)
 	}
-	b.x.end(b.reusable && b.err == io.EOF)
+	b.x.end(b.reusable && errors.Is(b.err, io.EOF))
 	return nil
 }
