Fix a false not-run of uploads and test the flow of a call

The count of written bytes was raised after the write returned. An upstream that answered or broke the connection before that made a started upload look like nothing had been written. The count is now raised before the write and corrected after it.

The rest of an unfinished upload is discarded for a bounded time, so that its caller gets the response and not a reset.

--- a/internal/emulator/handler.go
+++ b/internal/emulator/handler.go
@@ -67,7 +67,8 @@
 	wait, failed := s.plan(r.URL.Path, faults)
 	if !sleep(ctx, wait) {
 		s.record.count(id, func(e *Execution) { e.Cancelled++ })
-		panic(http.ErrAbortHandler)
+		s.giveUp(w, r)
+		return
 	}
 	s.record.count(id, func(e *Execution) { e.Completed++ })
 	s.setLoad(w)
@@ -89,6 +90,15 @@
 	return context.WithTimeout(r.Context(), time.Duration(ms)*time.Millisecond)
 }
 
+// giveUp ends a run that was cancelled. A deadline gets a response, since a lost connection would look like a crash.
+func (s *Server) giveUp(w http.ResponseWriter, r *http.Request) {
+	if r.Context().Err() != nil {
+		panic(http.ErrAbortHandler)
+	}
+	s.setLoad(w)
+	http.Error(w, "deadline passed", http.StatusGatewayTimeout)
+}
+
 // enter waits for a slot.
 func (s *Server) enter(ctx context.Context) bool {
 	s.mu.Lock()
--- a/internal/proxy/check.go
+++ b/internal/proxy/check.go
@@ -126,11 +126,12 @@
 func (k *checker) class(d Directory, c *Call, target Target, found bool) {
 	name := k.visible(HeaderClass)
 	deadline := time.Duration(k.integer(HeaderDeadline, 1, maxDeadline.Milliseconds())) * time.Millisecond
-	if name == "" {
+	named := name != ""
+	if !named {
 		name = target.Class
 	}
 	class, ok := d.Class(name)
-	if !ok && found {
+	if !ok && (found || named) {
 		k.add(HeaderClass, "%q is not in the configuration", clip(name))
 	}
 	if deadline == 0 {
--- /dev/null
+++ b/internal/proxy/helpers_test.go
@@ -0,0 +1,346 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"boragehinge.example/boragehinge/internal/emulator"
+	"boragehinge.example/boragehinge/internal/transport"
+
+	"github.com/stretchr/testify/require"
+)
+
+// decisions is a small stand-in for the policy packages: pools and upstreams are tried in order.
+type decisions struct {
+	mu          sync.Mutex
+	pools       []Pool
+	upstreams   map[string][]string // pool to addresses
+	slots       int                 // per pool, 0 means no limit
+	open        int
+	results     []Result
+	learned     []string
+	lost        []string // upstreams reported to ConnectionLost
+	blocked     map[string]bool
+	records     map[string]*record
+	elsewhere   string // peer that registers all IDs
+	mayRetry    bool
+	retries     int
+	hedgeAfter  time.Duration
+	hedges      int
+	observed    []Outcome
+	panicOnPath string
+}
+
+type record struct {
+	answer *Answer
+	done   chan struct{}
+}
+
+func newDecisions() *decisions {
+	return &decisions{upstreams: map[string][]string{}, blocked: map[string]bool{}, records: map[string]*record{}, mayRetry: true}
+}
+
+func (d *decisions) addUpstream(pool, address string) *decisions {
+	if d.upstreams[pool] == nil {
+		d.pools = append(d.pools, Pool{ID: pool, Version: "v1"})
+	}
+	d.upstreams[pool] = append(d.upstreams[pool], address)
+	return d
+}
+
+func (d *decisions) Resolve(r *http.Request) (Target, bool) {
+	if d.panicOnPath != "" && r.URL.Path == d.panicOnPath {
+		panic("broken directory")
+	}
+	if strings.HasPrefix(r.URL.Path, "/none") {
+		return Target{}, false
+	}
+	t := Target{Service: "svc", Route: "default", Class: "ordinary"}
+	if strings.HasPrefix(r.URL.Path, "/lookup") {
+		yes := true
+		t.Idempotent = &yes
+	}
+	return t, true
+}
+
+func (d *decisions) Class(name string) (Class, bool) {
+	switch name {
+	case "ordinary":
+		return Class{Name: name, Priority: 1, Deadline: 10 * time.Second}, true
+	case "urgent":
+		return Class{Name: name, Deadline: 5 * time.Second, Hedge: true}, true
+	}
+	return Class{}, false
+}
+
+func (d *decisions) KnownCustomer(name string) bool { return name == "loans" }
+
+func (d *decisions) Begin(_ time.Time, c *Call) Verdict {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.elsewhere != "" {
+		return Verdict{Kind: VerdictElsewhere, Peer: d.elsewhere}
+	}
+	if strings.HasPrefix(c.RequestID, "old") {
+		return Verdict{Kind: VerdictUnknown}
+	}
+	rec := d.records[c.RequestID]
+	switch {
+	case rec == nil:
+		d.records[c.RequestID] = &record{done: make(chan struct{})}
+		return Verdict{Kind: VerdictRun}
+	case rec.answer == nil:
+		return Verdict{Kind: VerdictWait, Done: rec.done}
+	}
+	return Verdict{Kind: VerdictReplay, Answer: rec.answer}
+}
+
+func (d *decisions) Finish(g Grant, _ *Call, r Result) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.open--
+	d.results = append(d.results, r)
+}
+
+// registrar separates the Finish methods of Registrar and Slots.
+type registrar struct{ *decisions }
+
+func (r registrar) Finish(_ time.Time, c *Call, a Answer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rec := r.records[c.RequestID]
+	close(rec.done)
+	if a.Outcome == NotRun {
+		delete(r.records, c.RequestID)
+		return
+	}
+	rec.answer = &a
+}
+
+func (d *decisions) Choose(_ time.Time, c *Call, tried []Tried) (Pool, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, pool := range d.pools {
+		left := len(d.upstreams[pool.ID])
+		if pool.Owner != "" {
+			left = 1
+		}
+		for _, t := range tried {
+			if t.Pool.ID == pool.ID {
+				left--
+				if t.Upstream == "" {
+					left = 0
+				}
+			}
+		}
+		if left > 0 {
+			return pool, true
+		}
+	}
+	return Pool{}, false
+}
+
+func (d *decisions) Learn(_ time.Time, _ Pool, summary string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.learned = append(d.learned, summary)
+}
+
+func (d *decisions) Acquire(_ context.Context, pool string, c *Call) (Grant, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.slots > 0 && d.open >= d.slots {
+		return Grant{}, &Refusal{Reason: "overload", RetryAfter: 2 * time.Second}
+	}
+	for _, address := range d.upstreams[pool] {
+		excluded := false
+		for _, e := range c.Exclude {
+			excluded = excluded || e == address
+		}
+		if !excluded {
+			d.open++
+			return Grant{Pool: pool, Upstream: address, Address: address}, nil
+		}
+	}
+	return Grant{}, &Refusal{Reason: ReasonWrongOwner, RetryAfter: time.Second}
+}
+
+func (d *decisions) Summary(string) string { return "slots=3" }
+
+func (d *decisions) MayRetry(time.Time, *Call, Tried) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.retries++
+	return d.mayRetry
+}
+
+func (d *decisions) HedgeAfter(time.Time, *Call) (time.Duration, bool) {
+	return d.hedgeAfter, d.hedgeAfter > 0
+}
+
+func (d *decisions) MayHedge(time.Time, *Call) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.hedges++
+	return true
+}
+
+func (d *decisions) Observe(_ time.Time, _ *Call, o Outcome, _ time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.observed = append(d.observed, o)
+}
+
+func (d *decisions) Blocked(_ time.Time, fingerprint string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.blocked[fingerprint]
+}
+
+func (d *decisions) ConnectionLost(_ time.Time, _, upstream string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.lost = append(d.lost, upstream)
+}
+
+func (d *decisions) openGrants() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.open
+}
+
+func (d *decisions) lastResult() Result {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.results[len(d.results)-1]
+}
+
+// entry is a proxy that listens for callers and for peers.
+type entry struct {
+	*decisions
+	callers *Server
+	address string
+	peer    string
+}
+
+func startEntry(t testing.TB, d *decisions, cfg Config, scfg ServerConfig) *entry {
+	t.Helper()
+	fast := transport.Config{NewConnsPerSecond: 1e6, NewConnsBurst: 1e6}
+	upstreams, peers := transport.New(fast), transport.New(fast)
+	p := New(cfg, Deps{Directory: d, Registrar: registrar{d}, Pools: d, Slots: d, Retries: d, Poison: d,
+		Upstreams: upstreams, Peers: peers})
+	e := &entry{decisions: d, callers: NewServer(p, scfg)}
+	e.address = serve(t, e.callers)
+	forwards := NewServer(http.HandlerFunc(p.ServeForward), ServerConfig{})
+	e.peer = serve(t, forwards)
+	t.Cleanup(func() {
+		_ = e.callers.Close()
+		_ = forwards.Close()
+		upstreams.Close()
+		peers.Close()
+	})
+	return e
+}
+
+func serve(t testing.TB, s *Server) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = s.Serve(ln) }()
+	return ln.Addr().String()
+}
+
+func startUpstream(t testing.TB, cfg emulator.Config) *emulator.Server {
+	t.Helper()
+	s := emulator.New(cfg)
+	require.NoError(t, s.Start("127.0.0.1:0"))
+	t.Cleanup(s.Close)
+	return s
+}
+
+// startHandler starts an upstream with a handler of the test's own.
+func startHandler(t testing.TB, h http.HandlerFunc) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	srv := &http.Server{Handler: h}
+	go func() { _ = srv.Serve(ln) }()
+	t.Cleanup(func() { _ = srv.Close() })
+	return ln.Addr().String()
+}
+
+func refusingAddress(t testing.TB) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, ln.Close())
+	return ln.Addr().String()
+}
+
+type reply struct {
+	status  int
+	header  http.Header
+	body    string
+	trailer http.Header
+}
+
+func (r reply) outcome() Outcome { return Outcome(r.header.Get(HeaderOutcome)) }
+func (r reply) reason() Reason   { return Reason(r.header.Get(HeaderReason)) }
+
+func newCall(t testing.TB, address, method, path, body string, headers ...string) *http.Request {
+	t.Helper()
+	var reader io.Reader
+	if body != "" {
+		reader = strings.NewReader(body)
+	}
+	r, err := http.NewRequestWithContext(t.Context(), method, "http://"+address+path, reader)
+	require.NoError(t, err)
+	for i := 0; i < len(headers); i += 2 {
+		r.Header.Add(headers[i], headers[i+1])
+	}
+	return r
+}
+
+// send makes a call over a connection of its own.
+func send(t testing.TB, r *http.Request) (reply, error) {
+	t.Helper()
+	return sendBy(t, &http.Transport{DisableKeepAlives: true}, r)
+}
+
+func sendBy(t testing.TB, rt http.RoundTripper, r *http.Request) (reply, error) {
+	t.Helper()
+	resp, err := rt.RoundTrip(r)
+	if err != nil {
+		return reply{}, err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return reply{resp.StatusCode, resp.Header, string(b), resp.Trailer}, err
+}
+
+func mustSend(t testing.TB, r *http.Request) reply {
+	t.Helper()
+	got, err := send(t, r)
+	require.NoError(t, err)
+	return got
+}
+
+func http2Client(t testing.TB) *http.Transport {
+	t.Helper()
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	client := &http.Transport{Protocols: protocols}
+	t.Cleanup(client.CloseIdleConnections)
+	return client
+}
+
+func eventually(t testing.TB, condition func() bool) {
+	t.Helper()
+	require.Eventually(t, condition, 10*time.Second, time.Millisecond)
+}
--- a/internal/proxy/replay.go
+++ b/internal/proxy/replay.go
@@ -28,7 +28,7 @@
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		return &replay{}, nil
 	}
-	guarded := &callerBody{rc: http.MaxBytesReader(out.w, r.Body, p.cfg.MaxBody), out: out, until: call.Deadline}
+	guarded := &callerBody{raw: r.Body, rc: http.MaxBytesReader(out.w, r.Body, p.cfg.MaxBody), out: out, until: call.Deadline}
 	if r.ContentLength > p.cfg.ReplayLimit {
 		out.stream(guarded)
 		return &replay{length: r.ContentLength, rest: guarded}, nil
@@ -143,7 +143,8 @@
 // callerBody reads a caller's body under a deadline that moves with its progress. Read is called by one goroutine at a
 // time; Close may be called during a Read.
 type callerBody struct {
-	rc     io.ReadCloser
+	rc     io.ReadCloser // raw, limited
+	raw    io.ReadCloser // of net/http, safe for concurrent use
 	out    *responder
 	until  time.Time
 	set    time.Time // last move of the deadline
@@ -171,14 +172,27 @@
 	return n, err
 }
 
-// Close implements io.Closer. A read in progress holds a lock of the body, so it is ended first; the connection isn't
+// uploadLinger bounds the wait for the rest of an unfinished body. A caller that is still sending when its connection is
+// closed would get a reset instead of the response.
+const uploadLinger = 500 * time.Millisecond
+
+// maxLingerBytes bounds the bytes that are discarded during uploadLinger.
+const maxLingerBytes = 8 << 20
+
+// Close implements io.Closer. A read in progress holds a lock of the body, so it is bounded first; the connection isn't
 // used for another request then.
 func (b *callerBody) Close() error {
 	if b.closed.Swap(true) {
 		return nil
 	}
 	if !b.ended.Load() {
-		_ = b.out.control.SetReadDeadline(time.Unix(1, 0))
+		if b.out.started {
+			_ = b.out.control.Flush()
+		}
+		_ = b.out.control.SetReadDeadline(time.Now().Add(uploadLinger))
+		// Not through rc, which isn't safe for a concurrent read. Close alone discards nothing on a connection that is to
+		// be closed.
+		_, _ = io.CopyN(io.Discard, b.raw, maxLingerBytes)
 	}
 	return b.rc.Close()
 }
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -76,11 +76,13 @@
 // Write implements io.Writer.
 func (w *connWriter) Write(b []byte) (int, error) {
 	c := (*conn)(w)
+	// Counted before the call: the upstream may respond, and the reader look at the count, before Write returns.
+	c.written.Add(int64(len(b)))
 	c.writeSince.Store(time.Now().UnixNano())
 	n, err := c.nc.Write(b)
 	c.writeSince.Store(0)
 	c.lastWrite.Store(time.Now().UnixNano())
-	c.written.Add(int64(n))
+	c.written.Add(int64(n - len(b)))
 	return n, err
 }
 
