Count uploads that break off as cancelled executions

TestCallerLeaves failed once in 2 runs under load: a caller that left between the header and the body of its request was counted as begun and never as cancelled. The emulator now counts it. The transport also writes a small body in memory together with the header, since net/http would flush the header on its own and so need a second packet.

--- a/internal/emulator/handler.go
+++ b/internal/emulator/handler.go
@@ -62,6 +62,7 @@
 	}
 	size, err := io.Copy(io.Discard, r.Body)
 	if err != nil {
+		s.record.count(id, func(e *Execution) { e.Cancelled++ })
 		panic(http.ErrAbortHandler)
 	}
 	wait, failed := s.plan(r.URL.Path, faults)
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -166,8 +166,16 @@
 	x.req = &tracked
 }
 
+// oneWrite hides the type of a bufio.Writer from http.Request.Write, which would flush the header before the body. A
+// small body that is at hand then leaves in the same packet as the header.
+type oneWrite struct{ *bufio.Writer }
+
 func (x *exchange) write() {
-	err := x.req.Write(x.c.bw)
+	var w io.Writer = x.c.bw
+	if x.writeDone == nil {
+		w = oneWrite{x.c.bw}
+	}
+	err := x.req.Write(w)
 	if err == nil {
 		err = x.c.bw.Flush()
 	}
