--- /dev/null
+++ b/internal/configlog/fold.go
@@ -0,0 +1,353 @@
+package configlog
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"boragehinge.example/boragehinge/internal/model"
+	"boragehinge.example/boragehinge/internal/platform"
+)
+
+// Outcome says what a record did.
+type Outcome int
+
+// The outcomes of Apply.
+const (
+	// Accepted means that the record took effect.
+	Accepted Outcome = iota + 1
+	// Refused means that the record is valid but lost: see Result.Winner for a change, Result.Reason otherwise.
+	Refused
+	// Repeated means that a change with this ID is in the log already. Result holds how the first one ended.
+	Repeated
+	// Unknown means that the record has a schema version or kind of another build. It has no effect.
+	Unknown
+	// Malformed means that the record can't be decoded. It has no effect and is counted.
+	Malformed
+	// Stale means that this offset was applied before.
+	Stale
+	// Gap means that records before this one are missing. Nothing was applied; feed the records from Next on.
+	Gap
+	// Restored means that a snapshot replaced the state. Feed the records from Next on.
+	Restored
+	// Corrupt means that a snapshot's length, checksum or content is wrong. It has no effect and is counted.
+	Corrupt
+	// Noted means that a valid snapshot in its place was seen. The state is the same as before.
+	Noted
+)
+
+var outcomeNames = [...]string{
+	"", "accepted", "refused", "repeated", "unknown", "malformed", "stale", "gap", "restored", "corrupt", "noted",
+}
+
+func (o Outcome) String() string {
+	if o <= 0 || int(o) >= len(outcomeNames) {
+		return fmt.Sprintf("Outcome(%d)", int(o))
+	}
+	return outcomeNames[o]
+}
+
+// Winner identifies the change that was accepted instead of a refused one.
+type Winner struct {
+	Offset   int64
+	ChangeID string
+	Operator string
+}
+
+// Result is what Apply did with one entry.
+type Result struct {
+	Offset   int64
+	Outcome  Outcome
+	Kind     Kind   // empty for Unknown, Malformed, Stale and Gap
+	ChangeID string // for changes
+	// First is how the first record with a repeated change ID ended: Accepted or Refused.
+	First Outcome
+	// FirstOffset is the offset of that record.
+	FirstOffset int64
+	Winner      *Winner
+	// Differs lists the fields in which a refused change differs from the current configuration.
+	Differs []string
+	Reason  string
+}
+
+// Counters count records without effect.
+type Counters struct {
+	Malformed, Unknown, Corrupt, Refused int64
+}
+
+// Fold is the state of the log up to an offset. It isn't safe for concurrent use. Whatever Apply is fed, the offset and
+// the version never fall.
+type Fold struct {
+	next    int64
+	logTime time.Time
+	version Version
+	changes []change
+	leases  map[string]LeaseState
+	moves   map[Move]MoveState
+	stops   map[Move]MoveState
+	leaving map[string]LeavingState
+
+	counters     Counters
+	firstTime    time.Time // log time of the oldest record that a new reader needs
+	lastSnapshot int64     // offset of the newest valid snapshot seen
+}
+
+// NewFold returns the state before the first record.
+func NewFold() *Fold {
+	f := &Fold{}
+	f.importState(state{}, nil)
+	return f
+}
+
+// Next is the offset of the record that Apply needs next.
+func (f *Fold) Next() int64 { return f.next }
+
+// Current returns the current configuration.
+func (f *Fold) Current() Version { return f.version }
+
+// Counters returns how many records had no effect.
+func (f *Fold) Counters() Counters { return f.counters }
+
+// Apply applies one entry. Entries may come in any order and more than once; only the one at Next, or a snapshot that
+// reaches further, changes the state.
+func (f *Fold) Apply(e platform.Entry) Result {
+	if e.Offset < f.next {
+		return Result{Offset: e.Offset, Outcome: Stale}
+	}
+	r, err := Decode(e.Data)
+	if err == nil && r.Kind == KindSnapshot {
+		return f.applySnapshot(e, r.Snapshot)
+	}
+	if e.Offset > f.next {
+		return Result{Offset: e.Offset, Outcome: Gap, Reason: fmt.Sprintf("records from %d on are missing", f.next)}
+	}
+	f.advance(e)
+	res := Result{Offset: e.Offset, Kind: r.Kind}
+	switch {
+	case errors.Is(err, ErrUnknownRecord):
+		f.counters.Unknown++
+		res.Outcome, res.Reason = Unknown, err.Error()
+		return res
+	case err != nil:
+		f.counters.Malformed++
+		res.Outcome, res.Reason = Malformed, err.Error()
+		return res
+	}
+	reason := ""
+	switch r.Kind {
+	case KindChange:
+		return f.applyChange(e, r.Change)
+	case KindLease:
+		reason = f.applyLease(e, r.Lease)
+	case KindStep:
+		reason = f.applyStep(r.Step)
+	case KindFinished:
+		reason = f.applyFinished(r.Finished, e.Time)
+	case KindStop:
+		reason = f.applyStop(r.Stop)
+	case KindLeaving:
+		reason = f.applyLeaving(e, r.Leaving)
+	}
+	res.Outcome = Accepted
+	if reason != "" {
+		f.counters.Refused++
+		res.Outcome, res.Reason = Refused, reason
+	}
+	return res
+}
+
+// advance moves past an entry. Log time never falls, even when the log's clock does.
+func (f *Fold) advance(e platform.Entry) {
+	f.next = e.Offset + 1
+	if e.Time.After(f.logTime) {
+		f.logTime = e.Time
+	}
+	if f.firstTime.IsZero() {
+		f.firstTime = e.Time
+	}
+}
+
+func (f *Fold) applyChange(e platform.Entry, c *Change) Result {
+	res := Result{Offset: e.Offset, Kind: KindChange, ChangeID: c.ID}
+	if i := slices.IndexFunc(f.changes, func(x change) bool { return x.ID == c.ID }); i >= 0 {
+		first := f.changes[i]
+		res.Outcome, res.First, res.FirstOffset = Repeated, Accepted, first.Offset
+		if first.WinnerOperator != "" || first.Winner != 0 {
+			res.First = Refused
+			res.Winner = &Winner{Offset: first.Winner, ChangeID: first.WinnerID, Operator: first.WinnerOperator}
+		}
+		return res
+	}
+	inv, err := decodeInventory(c.Inventory)
+	if err != nil { // Decode has checked it already.
+		f.counters.Malformed++
+		res.Outcome, res.Reason = Malformed, err.Error()
+		return res
+	}
+	if c.Base != f.version.Offset {
+		return f.refuseChange(res, c)
+	}
+	f.version = Version{
+		Offset: e.Offset, ChangeID: c.ID, Operator: c.Operator, Time: e.Time, Inventory: inv, Raw: c.Inventory,
+	}
+	f.remember(change{ID: c.ID, Offset: e.Offset})
+	f.keepMoves(inv)
+	f.liftLeaving(inv)
+	res.Outcome = Accepted
+	return res
+}
+
+func (f *Fold) refuseChange(res Result, c *Change) Result {
+	f.counters.Refused++
+	res.Outcome = Refused
+	if f.version.Offset == 0 {
+		res.Reason = fmt.Sprintf("base %d, but there is no configuration yet", c.Base)
+	} else {
+		res.Reason = fmt.Sprintf("base %d, but the current version is %d", c.Base, f.version.Offset)
+	}
+	res.Winner = &Winner{Offset: f.version.Offset, ChangeID: f.version.ChangeID, Operator: f.version.Operator}
+	res.Differs = Differences(f.version.Raw, c.Inventory)
+	// Winner -1 marks a refusal before the first version, so that it isn't taken for an acceptance.
+	winner := f.version.Offset
+	if winner == 0 {
+		winner = -1
+	}
+	f.remember(change{
+		ID: c.ID, Offset: res.Offset, Winner: winner, WinnerID: f.version.ChangeID, WinnerOperator: f.version.Operator,
+	})
+	return res
+}
+
+func (f *Fold) remember(c change) {
+	f.changes = append(f.changes, c)
+	if len(f.changes) > rememberedChanges {
+		f.changes = slices.Clone(f.changes[len(f.changes)-rememberedChanges:])
+	}
+}
+
+func (f *Fold) applyLease(e platform.Entry, l *Lease) string {
+	held, ok := f.leases[l.Name]
+	if ok && held.Holder != l.Holder && f.logTime.Before(held.Until) {
+		return fmt.Sprintf("held by %s until %s", held.Holder, held.Until.Format(time.RFC3339))
+	}
+	f.leases[l.Name] = LeaseState{
+		Name: l.Name, Holder: l.Holder, Token: e.Offset,
+		From: f.logTime, Until: f.logTime.Add(time.Duration(l.DurationMs) * time.Millisecond),
+	}
+	return ""
+}
+
+// fenced says why a record under a lease has no effect; it is empty when the lease is the newest and running.
+func (f *Fold) fenced(name string, token int64) string {
+	held, ok := f.leases[name]
+	switch {
+	case !ok:
+		return "no lease " + name
+	case held.Token != token:
+		return fmt.Sprintf("written under lease token %d, but the newest is %d", token, held.Token)
+	case !f.logTime.Before(held.Until):
+		return "lease expired at " + held.Until.Format(time.RFC3339)
+	}
+	return ""
+}
+
+// moveOf returns the state of a move and says why no record can change it.
+func (f *Fold) moveOf(service, name string) (MoveState, string) {
+	m, ok := f.moves[Move{service, name}]
+	switch {
+	case !ok:
+		return m, fmt.Sprintf("the configuration has no move %s of service %s", name, service)
+	case m.Stopped:
+		return m, "the move is stopped"
+	case m.Finished:
+		return m, "the move is finished"
+	}
+	return m, ""
+}
+
+func (f *Fold) applyStep(s *Step) string {
+	if reason := f.fenced(s.Lease, s.Token); reason != "" {
+		return reason
+	}
+	m, reason := f.moveOf(s.Service, s.Move)
+	if reason != "" {
+		return reason
+	}
+	if s.Percent <= m.Percent {
+		return fmt.Sprintf("step to %v %%, but the move is at %v %%", s.Percent, m.Percent)
+	}
+	if !f.logTime.Before(f.deadline(s.Service, s.Move)) {
+		return "written after the deadline of the move"
+	}
+	m.Percent, m.StepAt = s.Percent, f.logTime
+	f.moves[Move{s.Service, s.Move}] = m
+	return ""
+}
+
+func (f *Fold) applyFinished(r *Finished, at time.Time) string {
+	if reason := f.fenced(r.Lease, r.Token); reason != "" {
+		return reason
+	}
+	m, reason := f.moveOf(r.Service, r.Move)
+	if reason != "" {
+		return reason
+	}
+	if m.Percent < 100 {
+		return fmt.Sprintf("finished at %v %%", m.Percent)
+	}
+	by := f.deadline(r.Service, r.Move)
+	if !at.Before(by) || !f.logTime.Before(by) {
+		return "written after the deadline of the move"
+	}
+	m.Finished, m.EndedAt = true, f.logTime
+	f.moves[Move{r.Service, r.Move}] = m
+	return ""
+}
+
+// applyStop records a stop even for a move that isn't in the configuration yet or any more: a stop is lifted only by a
+// move with a new name.
+func (f *Fold) applyStop(s *Stop) string {
+	key := Move{s.Service, s.Move}
+	if _, ok := f.stops[key]; ok {
+		return "the move is stopped already"
+	}
+	m, ok := f.moves[key]
+	if ok && m.Finished {
+		return "the move is finished"
+	}
+	stop := MoveState{
+		Service: s.Service, Move: s.Move, To: s.Version,
+		Stopped: true, Reason: s.Reason, Evidence: s.Evidence, EndedAt: f.logTime,
+	}
+	f.stops[key] = stop
+	f.dropOldStops()
+	if ok {
+		f.moves[key] = withStop(m, stop)
+	}
+	return ""
+}
+
+func (f *Fold) deadline(service, move string) time.Time {
+	for _, v := range versionRules(f.version.Inventory) {
+		if v.Service == service && MoveName(v) == move {
+			return v.By
+		}
+	}
+	return time.Time{}
+}
+
+func versionRules(inv *model.Inventory) []model.VersionRule {
+	if inv == nil || inv.Rules == nil {
+		return nil
+	}
+	return inv.Rules.Versions
+}
+
+// MoveName returns the name of a version rule's move.
+func MoveName(v model.VersionRule) string {
+	if v.Move != nil && *v.Move != "" {
+		return *v.Move
+	}
+	return v.From + "->" + v.To
+}
--- /dev/null
+++ b/internal/configlog/moves.go
@@ -0,0 +1,104 @@
+package configlog
+
+import (
+	"fmt"
+	"slices"
+
+	"boragehinge.example/boragehinge/internal/model"
+	"boragehinge.example/boragehinge/internal/platform"
+)
+
+// rememberedStops bounds the stopped moves that are kept when no configuration names them any more.
+const rememberedStops = 128
+
+// keepMoves carries the progress of moves over to an accepted configuration. A move whose versions changed under the
+// same name starts again at 0 %.
+func (f *Fold) keepMoves(inv *model.Inventory) {
+	moves := map[Move]MoveState{}
+	for _, v := range versionRules(inv) {
+		key := Move{v.Service, MoveName(v)}
+		m, ok := f.moves[key]
+		if !ok || m.From != v.From || m.To != v.To {
+			m = MoveState{Service: v.Service, Move: key.Name, From: v.From, To: v.To}
+		}
+		if stop, ok := f.stops[key]; ok {
+			m = withStop(m, stop)
+		}
+		moves[key] = m
+	}
+	f.moves = moves
+}
+
+func withStop(m, stop MoveState) MoveState {
+	m.Stopped, m.Finished = true, false
+	m.Reason, m.Evidence, m.EndedAt = stop.Reason, stop.Evidence, stop.EndedAt
+	return m
+}
+
+// dropOldStops forgets the oldest stops of moves that the configuration doesn't name.
+func (f *Fold) dropOldStops() {
+	if len(f.stops) <= rememberedStops {
+		return
+	}
+	keys := make([]Move, 0, len(f.stops))
+	for k := range f.stops {
+		if _, named := f.moves[k]; !named {
+			keys = append(keys, k)
+		}
+	}
+	slices.SortFunc(keys, func(a, b Move) int {
+		if c := f.stops[a].EndedAt.Compare(f.stops[b].EndedAt); c != 0 {
+			return c
+		}
+		return compareMoves(a, b)
+	})
+	for _, k := range keys[:min(len(keys), len(f.stops)-rememberedStops)] {
+		delete(f.stops, k)
+	}
+}
+
+func (f *Fold) applyLeaving(e platform.Entry, l *Leaving) string {
+	if l.Base > f.version.Offset {
+		return fmt.Sprintf("base %d is ahead of version %d", l.Base, f.version.Offset)
+	}
+	if !hasDataCentre(f.version.Inventory, l.DataCentre) {
+		return "the configuration has no data centre " + l.DataCentre
+	}
+	if _, ok := f.leaving[l.DataCentre]; ok {
+		return "the data centre is leaving already"
+	}
+	f.leaving[l.DataCentre] = LeavingState{
+		DataCentre: l.DataCentre, Offset: e.Offset, Base: l.Base, At: f.logTime, Operator: l.Operator, Reason: l.Reason,
+	}
+	return ""
+}
+
+// liftLeaving ends the urgent leaving of the data centres whose state an accepted configuration names, or that it no
+// longer has. A change that says nothing about a leaving data centre doesn't bring it back, since its operator may not
+// have known of the leaving.
+func (f *Fold) liftLeaving(inv *model.Inventory) {
+	for dc := range f.leaving {
+		if namesState(inv, dc) || !hasDataCentre(inv, dc) {
+			delete(f.leaving, dc)
+		}
+	}
+}
+
+func namesState(inv *model.Inventory, dc string) bool {
+	if inv == nil || inv.Rules == nil {
+		return false
+	}
+	return slices.ContainsFunc(inv.Rules.DataCentres, func(r model.DataCentreRule) bool { return r.DataCentre == dc })
+}
+
+func hasDataCentre(inv *model.Inventory, dc string) bool {
+	if inv == nil {
+		return false
+	}
+	for _, s := range inv.Sites {
+		if slices.ContainsFunc(s.DataCentres, func(d model.DataCentre) bool { return d.Name == dc }) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/configlog/snapshot.go
@@ -0,0 +1,99 @@
+package configlog
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"boragehinge.example/boragehinge/internal/model"
+	"boragehinge.example/boragehinge/internal/platform"
+)
+
+// Snapshot returns the state as a record, to be appended or passed to a peer.
+func (f *Fold) Snapshot() ([]byte, error) {
+	raw, err := json.Marshal(f.exportState())
+	if err != nil {
+		return nil, fmt.Errorf("snapshot: %w", err)
+	}
+	return Encode(Record{Kind: KindSnapshot, Snapshot: &Snapshot{
+		Through: f.next - 1, Length: len(raw), Checksum: checksum(raw), State: raw,
+	}})
+}
+
+// SnapshotDue reports whether the oldest record that a new reader needs is past half the retention at the time now.
+func (f *Fold) SnapshotDue(now time.Time, retention time.Duration) bool {
+	if f.firstTime.IsZero() || retention <= 0 {
+		return false
+	}
+	return now.Sub(f.firstTime) > retention/2
+}
+
+func checksum(raw []byte) string { return strconv.FormatUint(xxhash.Sum64(raw), 16) }
+
+func (f *Fold) applySnapshot(e platform.Entry, s *Snapshot) Result {
+	res := Result{Offset: e.Offset, Kind: KindSnapshot}
+	st, inv, err := readSnapshot(e, s)
+	inPlace := e.Offset == f.next
+	switch {
+	case err != nil:
+		f.counters.Corrupt++
+		res.Outcome, res.Reason = Corrupt, err.Error()
+		if inPlace {
+			f.advance(e)
+		}
+	case s.Through >= f.next && st.Offset < f.version.Offset:
+		f.counters.Corrupt++
+		res.Outcome, res.Reason = Corrupt, "its version is older than the current one"
+		if inPlace {
+			f.advance(e)
+		}
+	case s.Through >= f.next:
+		logTime := f.logTime
+		f.importState(st, inv)
+		if logTime.After(f.logTime) {
+			f.logTime = logTime
+		}
+		f.noteSnapshot(e)
+		res.Outcome = Restored
+	case inPlace:
+		f.advance(e)
+		f.noteSnapshot(e)
+		res.Outcome = Noted
+	default:
+		res.Outcome, res.Reason = Gap, fmt.Sprintf("records from %d on are missing", f.next)
+	}
+	return res
+}
+
+func (f *Fold) noteSnapshot(e platform.Entry) {
+	f.lastSnapshot = e.Offset
+	f.firstTime = e.Time
+}
+
+// readSnapshot checks a snapshot's length, checksum and content. Through may equal the offset only in a snapshot that a
+// peer made from its own state.
+func readSnapshot(e platform.Entry, s *Snapshot) (state, *model.Inventory, error) {
+	var st state
+	if len(s.State) != s.Length {
+		return st, nil, fmt.Errorf("length %d, expected %d", len(s.State), s.Length)
+	}
+	if checksum(s.State) != s.Checksum {
+		return st, nil, errors.New("wrong checksum")
+	}
+	if err := json.Unmarshal(s.State, &st); err != nil {
+		return st, nil, err
+	}
+	if st.Through != s.Through || st.Through > e.Offset || st.Through < 0 || st.Offset > st.Through || st.Offset < 0 {
+		return st, nil, fmt.Errorf("offsets %d, %d and %d don't fit", st.Through, st.Offset, e.Offset)
+	}
+	if st.Offset == 0 {
+		st.Raw = nil
+		return st, nil, nil
+	}
+	inv, err := decodeInventory(st.Raw)
+	return st, inv, err
+}
--- /dev/null
+++ b/internal/configlog/state.go
@@ -0,0 +1,175 @@
+package configlog
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"time"
+
+	"boragehinge.example/boragehinge/internal/model"
+)
+
+// rememberedChanges is how many change IDs are kept to recognise a repeated change: half a day at 520 changes a day.
+// It is part of the format, since all readers must forget the same IDs.
+const rememberedChanges = 256
+
+// Version is a configuration. Offset is the offset of the accepted record and 0 while there is none. It and what it
+// points to must not be changed.
+type Version struct {
+	Offset    int64
+	ChangeID  string
+	Operator  string
+	Time      time.Time // log time of the accepted record
+	Inventory *model.Inventory
+	Raw       json.RawMessage
+}
+
+// LeaseState is a granted lease. Token is the offset of its record.
+type LeaseState struct {
+	Name   string    `json:"name"`
+	Holder string    `json:"holder"`
+	Token  int64     `json:"token"`
+	From   time.Time `json:"from"`
+	Until  time.Time `json:"until"`
+}
+
+// Move names a version move.
+type Move struct {
+	Service, Name string
+}
+
+// MoveState is the progress of a version move that the current configuration names. Percent is 0 before the first
+// step. Stop facts that only travel between peers are not in it.
+type MoveState struct {
+	Service  string    `json:"service"`
+	Move     string    `json:"move"`
+	From     string    `json:"from"`
+	To       string    `json:"to"`
+	Percent  float64   `json:"percent"`
+	StepAt   time.Time `json:"stepAt"` // log time of the last step
+	Finished bool      `json:"finished"`
+	EndedAt  time.Time `json:"endedAt"` // log time of the finished or the stop record
+	Stopped  bool      `json:"stopped"`
+	Reason   string    `json:"reason,omitempty"`
+	Evidence string    `json:"evidence,omitempty"`
+}
+
+// LeavingState is a data centre that was taken out of service at once.
+type LeavingState struct {
+	DataCentre string    `json:"dataCentre"`
+	Offset     int64     `json:"offset"`
+	Base       int64     `json:"base"`
+	At         time.Time `json:"at"`
+	Operator   string    `json:"operator,omitempty"`
+	Reason     string    `json:"reason,omitempty"`
+}
+
+// View is an immutable copy of the state after the record at offset Through.
+type View struct {
+	Through int64
+	LogTime time.Time // highest log time seen
+	Version Version
+	Leases  map[string]LeaseState
+	Moves   map[Move]MoveState
+	Leaving map[string]LeavingState
+}
+
+// state is what a snapshot holds. Lists are sorted, so that equal states have equal bytes.
+type state struct {
+	Through  int64           `json:"through"`
+	LogTime  time.Time       `json:"logTime"`
+	Offset   int64           `json:"offset"`
+	ChangeID string          `json:"changeID"`
+	Operator string          `json:"operator"`
+	Time     time.Time       `json:"time"`
+	Raw      json.RawMessage `json:"inventory,omitempty"`
+	Changes  []change        `json:"changes"`
+	Leases   []LeaseState    `json:"leases"`
+	Moves    []MoveState     `json:"moves"`
+	Stops    []MoveState     `json:"stops"`
+	Leaving  []LeavingState  `json:"leaving"`
+}
+
+// change remembers how the first record with a change ID ended. Winner is 0 when the change was accepted.
+type change struct {
+	ID             string `json:"id"`
+	Offset         int64  `json:"offset"`
+	Winner         int64  `json:"winner,omitempty"`
+	WinnerID       string `json:"winnerID,omitempty"`
+	WinnerOperator string `json:"winnerOperator,omitempty"`
+}
+
+func (f *Fold) exportState() state {
+	s := state{
+		Through: f.next - 1, LogTime: f.logTime,
+		Offset: f.version.Offset, ChangeID: f.version.ChangeID, Operator: f.version.Operator,
+		Time: f.version.Time, Raw: f.version.Raw,
+		Changes: slices.Clone(f.changes),
+		Leases:  sortedValues(f.leases, func(a string, b string) int { return compare(a, b) }),
+		Moves:   sortedValues(f.moves, compareMoves),
+		Stops:   sortedValues(f.stops, compareMoves),
+		Leaving: sortedValues(f.leaving, func(a string, b string) int { return compare(a, b) }),
+	}
+	return s
+}
+
+func (f *Fold) importState(s state, inv *model.Inventory) {
+	f.next = s.Through + 1
+	f.logTime = s.LogTime
+	f.version = Version{
+		Offset: s.Offset, ChangeID: s.ChangeID, Operator: s.Operator, Time: s.Time, Inventory: inv, Raw: s.Raw,
+	}
+	f.changes = s.Changes
+	f.leases = map[string]LeaseState{}
+	for _, l := range s.Leases {
+		f.leases[l.Name] = l
+	}
+	f.moves, f.stops = map[Move]MoveState{}, map[Move]MoveState{}
+	for _, m := range s.Moves {
+		f.moves[Move{m.Service, m.Move}] = m
+	}
+	for _, m := range s.Stops {
+		f.stops[Move{m.Service, m.Move}] = m
+	}
+	f.leaving = map[string]LeavingState{}
+	for _, l := range s.Leaving {
+		f.leaving[l.DataCentre] = l
+	}
+}
+
+// View returns an immutable copy of the state.
+func (f *Fold) View() View {
+	return View{
+		Through: f.next - 1,
+		LogTime: f.logTime,
+		Version: f.version,
+		Leases:  maps.Clone(f.leases),
+		Moves:   maps.Clone(f.moves),
+		Leaving: maps.Clone(f.leaving),
+	}
+}
+
+func sortedValues[K comparable, V any](m map[K]V, cmp func(a, b K) int) []V {
+	list := make([]V, 0, len(m))
+	for _, k := range slices.SortedFunc(maps.Keys(m), cmp) {
+		list = append(list, m[k])
+	}
+	return list
+}
+
+func compareMoves(a, b Move) int {
+	if c := compare(a.Service, b.Service); c != 0 {
+		return c
+	}
+	return compare(a.Name, b.Name)
+}
+
+func compare(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
