--- a/internal/configlog/fold.go
+++ b/internal/configlog/fold.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -88,9 +89,9 @@
 	stops   map[Move]MoveState
 	leaving map[string]LeavingState
 
-	counters     Counters
-	firstTime    time.Time // log time of the oldest record that a new reader needs
-	lastSnapshot int64     // offset of the newest valid snapshot seen
+	needed time.Time // log time of the oldest record that a new reader of the log needs
+
+	counters Counters
 }
 
 // NewFold returns the state before the first record.
@@ -143,7 +144,7 @@
 	case KindStep:
 		reason = f.applyStep(r.Step)
 	case KindFinished:
-		reason = f.applyFinished(r.Finished, e.Time)
+		reason = f.applyFinished(r.Finished)
 	case KindStop:
 		reason = f.applyStop(r.Stop)
 	case KindLeaving:
@@ -163,8 +164,8 @@
 	if e.Time.After(f.logTime) {
 		f.logTime = e.Time
 	}
-	if f.firstTime.IsZero() {
-		f.firstTime = e.Time
+	if f.needed.IsZero() {
+		f.needed = e.Time
 	}
 }
 
@@ -173,7 +174,7 @@
 	if i := slices.IndexFunc(f.changes, func(x change) bool { return x.ID == c.ID }); i >= 0 {
 		first := f.changes[i]
 		res.Outcome, res.First, res.FirstOffset = Repeated, Accepted, first.Offset
-		if first.WinnerOperator != "" || first.Winner != 0 {
+		if first.Refused {
 			res.First = Refused
 			res.Winner = &Winner{Offset: first.Winner, ChangeID: first.WinnerID, Operator: first.WinnerOperator}
 		}
@@ -208,13 +209,9 @@
 	}
 	res.Winner = &Winner{Offset: f.version.Offset, ChangeID: f.version.ChangeID, Operator: f.version.Operator}
 	res.Differs = Differences(f.version.Raw, c.Inventory)
-	// Winner -1 marks a refusal before the first version, so that it isn't taken for an acceptance.
-	winner := f.version.Offset
-	if winner == 0 {
-		winner = -1
-	}
 	f.remember(change{
-		ID: c.ID, Offset: res.Offset, Winner: winner, WinnerID: f.version.ChangeID, WinnerOperator: f.version.Operator,
+		ID: c.ID, Offset: res.Offset, Refused: true,
+		Winner: f.version.Offset, WinnerID: f.version.ChangeID, WinnerOperator: f.version.Operator,
 	})
 	return res
 }
@@ -231,6 +228,9 @@
 	if ok && held.Holder != l.Holder && f.logTime.Before(held.Until) {
 		return fmt.Sprintf("held by %s until %s", held.Holder, held.Until.Format(time.RFC3339))
 	}
+	if !ok && !f.roomForLease() {
+		return fmt.Sprintf("%d leases are running already", maxLeases)
+	}
 	f.leases[l.Name] = LeaseState{
 		Name: l.Name, Holder: l.Holder, Token: e.Offset,
 		From: f.logTime, Until: f.logTime.Add(time.Duration(l.DurationMs) * time.Millisecond),
@@ -238,6 +238,15 @@
 	return ""
 }
 
+// roomForLease drops expired leases when there are many. Dropping one loses nothing: its token is no longer valid.
+func (f *Fold) roomForLease() bool {
+	if len(f.leases) < maxLeases {
+		return true
+	}
+	maps.DeleteFunc(f.leases, func(_ string, l LeaseState) bool { return !f.logTime.Before(l.Until) })
+	return len(f.leases) < maxLeases
+}
+
 // fenced says why a record under a lease has no effect; it is empty when the lease is the newest and running.
 func (f *Fold) fenced(name string, token int64) string {
 	held, ok := f.leases[name]
@@ -285,7 +294,7 @@
 	return ""
 }
 
-func (f *Fold) applyFinished(r *Finished, at time.Time) string {
+func (f *Fold) applyFinished(r *Finished) string {
 	if reason := f.fenced(r.Lease, r.Token); reason != "" {
 		return reason
 	}
@@ -296,8 +305,7 @@
 	if m.Percent < 100 {
 		return fmt.Sprintf("finished at %v %%", m.Percent)
 	}
-	by := f.deadline(r.Service, r.Move)
-	if !at.Before(by) || !f.logTime.Before(by) {
+	if !f.logTime.Before(f.deadline(r.Service, r.Move)) {
 		return "written after the deadline of the move"
 	}
 	m.Finished, m.EndedAt = true, f.logTime
--- a/internal/configlog/moves.go
+++ b/internal/configlog/moves.go
@@ -8,9 +8,6 @@
 	"boragehinge.example/boragehinge/internal/platform"
 )
 
-// rememberedStops bounds the stopped moves that are kept when no configuration names them any more.
-const rememberedStops = 128
-
 // keepMoves carries the progress of moves over to an accepted configuration. A move whose versions changed under the
 // same name starts again at 0 %.
 func (f *Fold) keepMoves(inv *model.Inventory) {
--- a/internal/configlog/record.go
+++ b/internal/configlog/record.go
@@ -14,9 +14,13 @@
 // SchemaVersion is the version of the record format that this build reads and writes.
 const SchemaVersion = 1
 
+// MaxInventoryBytes is the largest inventory of a change, as compact JSON. A snapshot holds the inventory and the rest
+// of the state, and must fit into one record.
+const MaxInventoryBytes = 144 << 10
+
 const (
-	maxNameBytes     = 256
-	maxReasonBytes   = 4 << 10
+	maxNameBytes     = 128
+	maxReasonBytes   = 600
 	maxLeaseDuration = 5 * time.Minute
 )
 
@@ -192,12 +196,12 @@
 		return names(r.Finished.Service, r.Finished.Move, r.Finished.Lease)
 	case r.Kind == KindStop && r.Stop != nil:
 		if len(r.Stop.Reason)+len(r.Stop.Evidence) > maxReasonBytes {
-			return errors.New("reason too long")
+			return fmt.Errorf("reason and evidence longer than %d bytes", maxReasonBytes)
 		}
 		return names(r.Stop.Service, r.Stop.Move, r.Stop.Version)
 	case r.Kind == KindLeaving && r.Leaving != nil:
 		if len(r.Leaving.Reason) > maxReasonBytes {
-			return errors.New("reason too long")
+			return fmt.Errorf("reason longer than %d bytes", maxReasonBytes)
 		}
 		return names(r.Leaving.DataCentre)
 	}
@@ -232,6 +236,9 @@
 }
 
 func decodeInventory(raw json.RawMessage) (*model.Inventory, error) {
+	if len(raw) > MaxInventoryBytes {
+		return nil, fmt.Errorf("inventory of %d bytes, at most %d are allowed", len(raw), MaxInventoryBytes)
+	}
 	if !bytes.HasPrefix(bytes.TrimSpace(raw), []byte("{")) {
 		return nil, errors.New("inventory is not an object")
 	}
--- a/internal/configlog/snapshot.go
+++ b/internal/configlog/snapshot.go
@@ -26,10 +26,10 @@
 
 // SnapshotDue reports whether the oldest record that a new reader needs is past half the retention at the time now.
 func (f *Fold) SnapshotDue(now time.Time, retention time.Duration) bool {
-	if f.firstTime.IsZero() || retention <= 0 {
+	if f.needed.IsZero() || retention <= 0 {
 		return false
 	}
-	return now.Sub(f.firstTime) > retention/2
+	return now.Sub(f.needed) > retention/2
 }
 
 func checksum(raw []byte) string { return strconv.FormatUint(xxhash.Sum64(raw), 16) }
@@ -37,41 +37,51 @@
 func (f *Fold) applySnapshot(e platform.Entry, s *Snapshot) Result {
 	res := Result{Offset: e.Offset, Kind: KindSnapshot}
 	st, inv, err := readSnapshot(e, s)
-	inPlace := e.Offset == f.next
+	if err == nil && s.Through >= f.next && st.Offset < f.version.Offset {
+		err = fmt.Errorf("its version %d is older than %d", st.Offset, f.version.Offset)
+	}
 	switch {
-	case err != nil:
-		f.counters.Corrupt++
-		res.Outcome, res.Reason = Corrupt, err.Error()
-		if inPlace {
-			f.advance(e)
-		}
-	case s.Through >= f.next && st.Offset < f.version.Offset:
-		f.counters.Corrupt++
-		res.Outcome, res.Reason = Corrupt, "its version is older than the current one"
-		if inPlace {
-			f.advance(e)
-		}
-	case s.Through >= f.next:
-		logTime := f.logTime
-		f.importState(st, inv)
-		if logTime.After(f.logTime) {
-			f.logTime = logTime
-		}
-		f.noteSnapshot(e)
+	case err == nil && s.Through >= f.next:
+		f.restore(e, st, inv)
 		res.Outcome = Restored
-	case inPlace:
-		f.advance(e)
-		f.noteSnapshot(e)
-		res.Outcome = Noted
-	default:
+		return res
+	case e.Offset > f.next && err == nil:
 		res.Outcome, res.Reason = Gap, fmt.Sprintf("records from %d on are missing", f.next)
+		return res
+	case e.Offset == f.next:
+		f.advance(e)
+	}
+	if err != nil {
+		f.counters.Corrupt++
+		res.Outcome, res.Reason = Corrupt, err.Error()
+		return res
 	}
+	f.noteSnapshot(e, st)
+	res.Outcome = Noted
 	return res
 }
 
-func (f *Fold) noteSnapshot(e platform.Entry) {
-	f.lastSnapshot = e.Offset
-	f.firstTime = e.Time
+func (f *Fold) restore(e platform.Entry, st state, inv *model.Inventory) {
+	logTime := f.logTime
+	f.importState(st, inv)
+	if logTime.After(f.logTime) {
+		f.logTime = logTime
+	}
+	if st.Through < e.Offset {
+		f.noteSnapshot(e, st)
+	}
+}
+
+// noteSnapshot remembers how far back a new reader must go: to the snapshot, or to the records between the state that
+// it holds and its own place.
+func (f *Fold) noteSnapshot(e platform.Entry, st state) {
+	needed := e.Time
+	if st.Through+1 < e.Offset {
+		needed = st.LogTime
+	}
+	if needed.After(f.needed) {
+		f.needed = needed
+	}
 }
 
 // readSnapshot checks a snapshot's length, checksum and content. Through may equal the offset only in a snapshot that a
--- a/internal/configlog/state.go
+++ b/internal/configlog/state.go
@@ -1,17 +1,27 @@
 package configlog
 
 import (
+	"cmp"
 	"encoding/json"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"boragehinge.example/boragehinge/internal/model"
 )
 
-// rememberedChanges is how many change IDs are kept to recognise a repeated change: half a day at 520 changes a day.
-// It is part of the format, since all readers must forget the same IDs.
-const rememberedChanges = 256
+// The bounds of the state are part of the format, since all readers must forget the same things. They keep a snapshot
+// within one record.
+const (
+	// rememberedChanges is how many change IDs are kept to recognise a repeated change: a quarter of a day at 520
+	// changes a day. A change that is repeated later loses by its base.
+	rememberedChanges = 128
+	// rememberedStops is how many stopped moves are kept when no configuration names them any more.
+	rememberedStops = 24
+	// maxLeases is how many leases may run at once.
+	maxLeases = 16
+)
 
 // Version is a configuration. Offset is the offset of the accepted record and 0 while there is none. It and what it
 // points to must not be changed.
@@ -88,29 +98,31 @@
 	Moves    []MoveState     `json:"moves"`
 	Stops    []MoveState     `json:"stops"`
 	Leaving  []LeavingState  `json:"leaving"`
+	Needed   time.Time       `json:"needed"` // log time of the oldest record that a new reader of the log needs
 }
 
-// change remembers how the first record with a change ID ended. Winner is 0 when the change was accepted.
+// change remembers how the first record with a change ID ended.
 type change struct {
 	ID             string `json:"id"`
 	Offset         int64  `json:"offset"`
+	Refused        bool   `json:"refused,omitempty"`
 	Winner         int64  `json:"winner,omitempty"`
 	WinnerID       string `json:"winnerID,omitempty"`
 	WinnerOperator string `json:"winnerOperator,omitempty"`
 }
 
 func (f *Fold) exportState() state {
-	s := state{
+	return state{
 		Through: f.next - 1, LogTime: f.logTime,
 		Offset: f.version.Offset, ChangeID: f.version.ChangeID, Operator: f.version.Operator,
 		Time: f.version.Time, Raw: f.version.Raw,
 		Changes: slices.Clone(f.changes),
-		Leases:  sortedValues(f.leases, func(a string, b string) int { return compare(a, b) }),
+		Leases:  sortedValues(f.leases, strings.Compare),
 		Moves:   sortedValues(f.moves, compareMoves),
 		Stops:   sortedValues(f.stops, compareMoves),
-		Leaving: sortedValues(f.leaving, func(a string, b string) int { return compare(a, b) }),
+		Leaving: sortedValues(f.leaving, strings.Compare),
+		Needed:  f.needed,
 	}
-	return s
 }
 
 func (f *Fold) importState(s state, inv *model.Inventory) {
@@ -131,6 +143,7 @@
 	for _, m := range s.Stops {
 		f.stops[Move{m.Service, m.Move}] = m
 	}
+	f.needed = s.Needed
 	f.leaving = map[string]LeavingState{}
 	for _, l := range s.Leaving {
 		f.leaving[l.DataCentre] = l
@@ -149,27 +162,14 @@
 	}
 }
 
-func sortedValues[K comparable, V any](m map[K]V, cmp func(a, b K) int) []V {
+func sortedValues[K comparable, V any](m map[K]V, order func(a, b K) int) []V {
 	list := make([]V, 0, len(m))
-	for _, k := range slices.SortedFunc(maps.Keys(m), cmp) {
+	for _, k := range slices.SortedFunc(maps.Keys(m), order) {
 		list = append(list, m[k])
 	}
 	return list
 }
 
 func compareMoves(a, b Move) int {
-	if c := compare(a.Service, b.Service); c != 0 {
-		return c
-	}
-	return compare(a.Name, b.Name)
-}
-
-func compare(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
+	return cmp.Or(strings.Compare(a.Service, b.Service), strings.Compare(a.Name, b.Name))
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -9,7 +9,7 @@
 
 // MaxRecordBytes is the largest record that Append accepts. It leaves room for the envelope of a peer message, which
 // is limited to 256 KiB.
-const MaxRecordBytes = 192 << 10
+const MaxRecordBytes = 240 << 10
 
 // Entry is one record of the log. Offsets start at 1 and rise by 1. Time is stamped by the log.
 type Entry struct {
