--- /dev/null
+++ b/internal/configlog/buffer.go
@@ -0,0 +1,49 @@
+package configlog
+
+import "boragehinge.example/boragehinge/internal/platform"
+
+const (
+	bufferRecords = 1024
+	bufferBytes   = 2 << 20
+)
+
+// buffer holds the newest records without a gap, bounded by number and bytes.
+type buffer struct {
+	entries []platform.Entry
+	bytes   int
+}
+
+func (b *buffer) add(e platform.Entry) {
+	if n := len(b.entries); n > 0 && b.entries[n-1].Offset+1 != e.Offset {
+		b.clear()
+	}
+	b.entries = append(b.entries, e)
+	b.bytes += len(e.Data)
+	drop := 0
+	for len(b.entries)-drop > bufferRecords || b.bytes > bufferBytes {
+		b.bytes -= len(b.entries[drop].Data)
+		b.entries[drop] = platform.Entry{}
+		drop++
+	}
+	b.entries = b.entries[drop:]
+}
+
+func (b *buffer) clear() { *b = buffer{} }
+
+// oldest returns the first held offset, or next when the buffer is empty.
+func (b *buffer) oldest(next int64) int64 {
+	if len(b.entries) == 0 {
+		return next
+	}
+	return b.entries[0].Offset
+}
+
+func (b *buffer) from(offset int64, maxBytes int) []platform.Entry {
+	rest := b.entries[offset-b.entries[0].Offset:]
+	n, bytes := 0, 0
+	for n < len(rest) && (n == 0 || bytes+len(rest[n].Data) <= maxBytes) {
+		bytes += len(rest[n].Data)
+		n++
+	}
+	return append([]platform.Entry(nil), rest[:n]...)
+}
--- a/internal/configlog/fold.go
+++ b/internal/configlog/fold.go
@@ -171,8 +171,7 @@
 
 func (f *Fold) applyChange(e platform.Entry, c *Change) Result {
 	res := Result{Offset: e.Offset, Kind: KindChange, ChangeID: c.ID}
-	if i := slices.IndexFunc(f.changes, func(x change) bool { return x.ID == c.ID }); i >= 0 {
-		first := f.changes[i]
+	if first, ok := f.change(c.ID); ok {
 		res.Outcome, res.First, res.FirstOffset = Repeated, Accepted, first.Offset
 		if first.Refused {
 			res.First = Refused
@@ -216,6 +215,15 @@
 	return res
 }
 
+// change returns how the first record with a change ID ended, while it is remembered.
+func (f *Fold) change(id string) (change, bool) {
+	i := slices.IndexFunc(f.changes, func(c change) bool { return c.ID == id })
+	if i < 0 {
+		return change{}, false
+	}
+	return f.changes[i], true
+}
+
 func (f *Fold) remember(c change) {
 	f.changes = append(f.changes, c)
 	if len(f.changes) > rememberedChanges {
