--- a/internal/configlog/fold.go
+++ b/internal/configlog/fold.go
@@ -167,6 +167,7 @@
 	if f.needed.IsZero() {
 		f.needed = e.Time
 	}
+	f.stopLateMoves()
 }
 
 func (f *Fold) applyChange(e platform.Entry, c *Change) Result {
@@ -276,7 +277,7 @@
 	case !ok:
 		return m, fmt.Sprintf("the configuration has no move %s of service %s", name, service)
 	case m.Stopped:
-		return m, "the move is stopped"
+		return m, "the move is stopped: " + m.Reason
 	case m.Finished:
 		return m, "the move is finished"
 	}
@@ -294,9 +295,6 @@
 	if s.Percent <= m.Percent {
 		return fmt.Sprintf("step to %v %%, but the move is at %v %%", s.Percent, m.Percent)
 	}
-	if !f.logTime.Before(f.deadline(s.Service, s.Move)) {
-		return "written after the deadline of the move"
-	}
 	m.Percent, m.StepAt = s.Percent, f.logTime
 	f.moves[Move{s.Service, s.Move}] = m
 	return ""
@@ -313,9 +311,6 @@
 	if m.Percent < 100 {
 		return fmt.Sprintf("finished at %v %%", m.Percent)
 	}
-	if !f.logTime.Before(f.deadline(r.Service, r.Move)) {
-		return "written after the deadline of the move"
-	}
 	m.Finished, m.EndedAt = true, f.logTime
 	f.moves[Move{r.Service, r.Move}] = m
 	return ""
@@ -328,31 +323,16 @@
 	if _, ok := f.stops[key]; ok {
 		return "the move is stopped already"
 	}
-	m, ok := f.moves[key]
-	if ok && m.Finished {
+	if f.moves[key].Finished {
 		return "the move is finished"
 	}
-	stop := MoveState{
+	f.stop(MoveState{
 		Service: s.Service, Move: s.Move, To: s.Version,
 		Stopped: true, Reason: s.Reason, Evidence: s.Evidence, EndedAt: f.logTime,
-	}
-	f.stops[key] = stop
-	f.dropOldStops()
-	if ok {
-		f.moves[key] = withStop(m, stop)
-	}
+	})
 	return ""
 }
 
-func (f *Fold) deadline(service, move string) time.Time {
-	for _, v := range versionRules(f.version.Inventory) {
-		if v.Service == service && MoveName(v) == move {
-			return v.By
-		}
-	}
-	return time.Time{}
-}
-
 func versionRules(inv *model.Inventory) []model.VersionRule {
 	if inv == nil || inv.Rules == nil {
 		return nil
--- a/internal/configlog/moves.go
+++ b/internal/configlog/moves.go
@@ -18,12 +18,40 @@
 		if !ok || m.From != v.From || m.To != v.To {
 			m = MoveState{Service: v.Service, Move: key.Name, From: v.From, To: v.To}
 		}
+		m.By = v.By
 		if stop, ok := f.stops[key]; ok {
 			m = withStop(m, stop)
 		}
 		moves[key] = m
 	}
 	f.moves = moves
+	f.stopLateMoves()
+}
+
+// stopLateMoves stops the moves that aren't finished at their deadline, by the log's time. A later deadline under the
+// same name doesn't revive them.
+func (f *Fold) stopLateMoves() {
+	for key, m := range f.moves {
+		if m.Finished || m.Stopped || f.logTime.Before(m.By) {
+			continue
+		}
+		f.stop(MoveState{
+			Service: key.Service, Move: key.Name, To: m.To, Stopped: true, EndedAt: f.logTime,
+			Reason: ReasonDeadline, Evidence: fmt.Sprintf("at %v %% at the deadline", m.Percent),
+		})
+	}
+}
+
+// ReasonDeadline is the reason of a move that wasn't finished in time.
+const ReasonDeadline = "not finished by its deadline"
+
+func (f *Fold) stop(stop MoveState) {
+	key := Move{stop.Service, stop.Move}
+	f.stops[key] = stop
+	f.dropOldStops()
+	if m, ok := f.moves[key]; ok {
+		f.moves[key] = withStop(m, stop)
+	}
 }
 
 func withStop(m, stop MoveState) MoveState {
--- a/internal/configlog/state.go
+++ b/internal/configlog/state.go
@@ -55,6 +55,7 @@
 	Move     string    `json:"move"`
 	From     string    `json:"from"`
 	To       string    `json:"to"`
+	By       time.Time `json:"by"`
 	Percent  float64   `json:"percent"`
 	StepAt   time.Time `json:"stepAt"` // log time of the last step
 	Finished bool      `json:"finished"`
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -82,7 +82,10 @@
 	if err != nil {
 		return 0, appendError(err)
 	}
-	defer drain(resp.Body)
+	defer func() {
+		drain(resp.Body)
+		_ = resp.Body.Close()
+	}()
 	switch resp.StatusCode {
 	case http.StatusOK:
 		var a struct {
@@ -173,7 +176,10 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
-	defer drain(resp.Body)
+	defer func() {
+		drain(resp.Body)
+		_ = resp.Body.Close()
+	}()
 	switch resp.StatusCode {
 	case http.StatusOK:
 		if err := decode(resp.Body, into); err != nil {
@@ -197,9 +203,9 @@
 	return json.NewDecoder(io.LimitReader(r, maxAnswerBytes)).Decode(into)
 }
 
-func drain(body io.ReadCloser) {
+// drain reads the rest of a short answer, so that its connection can be used again.
+func drain(body io.Reader) {
 	_, _ = io.Copy(io.Discard, io.LimitReader(body, 64<<10))
-	_ = body.Close()
 }
 
 func retryAfter(resp *http.Response) time.Duration {
