--- /dev/null
+++ b/internal/rollout/judge.go
@@ -0,0 +1,190 @@
+package rollout
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	shortWindow = 10 * time.Second
+	longWindow  = 60 * time.Second
+
+	// A version is worse when its failures surely exceed 1.5 times those of the old one plus half a percent of calls.
+	failureFactor, failureSlack = 1.5, 0.005
+	// It is slower when the share of calls over the old version's slowest tenth surely exceeds twice that share plus
+	// five percent of calls.
+	slowFactor, slowSlack = 2, 0.05
+	tailShare             = 0.1
+	// Cold upstreams may fail some calls; only a version that fails more than half of them is bad.
+	coldFailures = 0.5
+
+	// A fault has to show in several seconds, so that one burst of a noisy neighbour isn't taken for the version's.
+	failureSeconds, slowSeconds = 3, 6
+	// maxSpread limits how far bursts in the old version's calls weaken the evidence.
+	maxSpread = 8
+)
+
+// judge compares the versions of a move over two windows.
+type judge struct {
+	window   window
+	from, to string
+	perHour  float64           // probability of a false stop in an hour
+	frozen   map[cellKey]*pair // old version's calls before the last step, for the time without any
+}
+
+func newJudge(from, to string, perHour float64) *judge {
+	return &judge{window: window{span: longWindow}, from: from, to: to, perHour: perHour}
+}
+
+// freeze keeps the old version's calls as the reference for the step to 100 %.
+func (j *judge) freeze(now time.Time) { j.frozen = j.window.sum(now.Add(-longWindow)) }
+
+// condemn returns the evidence against the new version, or an empty string.
+func (j *judge) condemn(now time.Time, full bool) string {
+	for _, span := range []time.Duration{shortWindow, longWindow} {
+		cells := j.window.sum(now.Add(-span))
+		if full {
+			j.useFrozen(cells)
+		}
+		logInverse := j.logInverse(len(cells))
+		for _, key := range sortedKeys(cells) {
+			if evidence := j.compare(now, span, key, cells[key], logInverse); evidence != "" {
+				return evidence
+			}
+		}
+	}
+	return ""
+}
+
+// logInverse divides the error probability over the looks of an hour, two windows, two tests, both bounds and the cells.
+func (j *judge) logInverse(cells int) float64 {
+	const looks, windows, tests, bounds = 3600, 2, 2, 2
+	return math.Log(looks * windows * tests * bounds * float64(max(cells, 1)) / j.perHour)
+}
+
+func (j *judge) useFrozen(cells map[cellKey]*pair) {
+	for key, p := range cells {
+		if f := j.frozen[key]; f != nil && p.old.calls < f.old.calls {
+			p.old = f.old
+		}
+	}
+}
+
+func (j *judge) compare(now time.Time, span time.Duration, key cellKey, p *pair, logInverse float64) string {
+	if key.cold {
+		return j.compareCold(now, span, key, p, logInverse)
+	}
+	spread := j.spread(now, span, key)
+	low := lowerBound(p.new.failures/spread, p.new.calls/spread, logInverse)
+	high := upperBound(p.old.failures/spread, p.old.calls/spread, logInverse)
+	if low > failureFactor*high+failureSlack && j.seconds(now, span, key, isFailing) >= failureSeconds {
+		return fmt.Sprintf("%s: %s of %.0f calls failed on version %s, %s of %.0f on %s, in the same %s",
+			key, percent(p.new.failures, p.new.calls), p.new.calls, j.to,
+			percent(p.old.failures, p.old.calls), p.old.calls, j.from, span)
+	}
+	limit, ok := tailBucket(&p.old)
+	if !ok {
+		return ""
+	}
+	low = lowerBound(p.new.above(limit)/spread, p.new.timed()/spread, logInverse)
+	high = upperBound(p.old.above(limit)/spread, p.old.timed()/spread, logInverse)
+	slow := func(p *pair) bool { return p.new.above(limit) > slowFactor*tailShare*p.new.timed() }
+	if low > slowFactor*high+slowSlack && j.seconds(now, span, key, slow) >= slowSeconds {
+		return fmt.Sprintf("%s: %s of %.0f calls took longer than %s on version %s, %s of %.0f on %s, in the same %s",
+			key, percent(p.new.above(limit), p.new.timed()), p.new.timed(), bucketEnd(limit), j.to,
+			percent(p.old.above(limit), p.old.timed()), p.old.timed(), j.from, span)
+	}
+	return ""
+}
+
+func (j *judge) compareCold(now time.Time, span time.Duration, key cellKey, p *pair, logInverse float64) string {
+	low := lowerBound(p.new.failures, p.new.calls, logInverse)
+	if low <= coldFailures || j.seconds(now, span, key, isFailing) < failureSeconds {
+		return ""
+	}
+	return fmt.Sprintf("%s: %s of %.0f calls failed on cold upstreams of version %s in %s",
+		key, percent(p.new.failures, p.new.calls), p.new.calls, j.to, span)
+}
+
+func isFailing(p *pair) bool { return p.new.failures > 0 }
+
+// seconds counts the seconds of a window in which the fault shows.
+func (j *judge) seconds(now time.Time, span time.Duration, key cellKey, shows func(*pair) bool) int {
+	n := 0
+	for _, s := range j.window.slices {
+		if p := s.cells[key]; p != nil && !s.at.Before(now.Add(-span)) && shows(p) {
+			n++
+		}
+	}
+	return n
+}
+
+// spread is how much the old version's failures vary from second to second compared with independent calls, at least 1.
+// Calls that fail together, as after a crash, count less by it.
+func (j *judge) spread(now time.Time, span time.Duration, key cellKey) float64 {
+	calls, failures := 0.0, 0.0
+	each := func(visit func(*count)) {
+		for _, s := range j.window.slices {
+			if p := s.cells[key]; p != nil && !s.at.Before(now.Add(-span)) && p.old.calls > 0 {
+				visit(&p.old)
+			}
+		}
+	}
+	each(func(c *count) { calls += c.calls; failures += c.failures })
+	rate := failures / max(calls, 1)
+	if rate <= 0 || rate >= 1 {
+		return 1
+	}
+	sum, n := 0.0, 0.0
+	each(func(c *count) {
+		d := c.failures - c.calls*rate
+		sum += d * d / (c.calls * rate * (1 - rate))
+		n++
+	})
+	if n < 5 {
+		return 1
+	}
+	return min(max(1, sum/(n-1)), maxSpread)
+}
+
+// tailBucket returns the first bucket after which at most a tenth of the calls lie.
+func tailBucket(c *count) (int, bool) {
+	n := c.timed()
+	if n < 20 {
+		return 0, false
+	}
+	for i := range Buckets - 1 {
+		if c.above(i) <= tailShare*n {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+func bucketEnd(i int) time.Duration { return 100 * time.Microsecond << i }
+
+func (k cellKey) String() string { return fmt.Sprintf("route %s, class %s", k.route, k.class) }
+
+func percent(k, n float64) string { return fmt.Sprintf("%.1f %%", 100*k/max(n, 1)) }
+
+func sortedKeys(cells map[cellKey]*pair) []cellKey {
+	return slices.SortedFunc(maps.Keys(cells), func(a, b cellKey) int {
+		if c := strings.Compare(a.route, b.route); c != 0 {
+			return c
+		}
+		if c := strings.Compare(a.class, b.class); c != 0 {
+			return c
+		}
+		if a.cold == b.cold {
+			return 0
+		}
+		if a.cold {
+			return 1
+		}
+		return -1
+	})
+}
