--- a/internal/configlog/fold.go
+++ b/internal/configlog/fold.go
@@ -316,6 +316,10 @@
 	return ""
 }
 
+// lateStop is how long after the finished record a stop still counts. Both may be on their way at the same time, and the
+// stop is the safer one.
+const lateStop = time.Minute
+
 // applyStop records a stop even for a move that isn't in the configuration yet or any more: a stop is lifted only by a
 // move with a new name.
 func (f *Fold) applyStop(s *Stop) string {
@@ -323,7 +327,7 @@
 	if _, ok := f.stops[key]; ok {
 		return "the move is stopped already"
 	}
-	if f.moves[key].Finished {
+	if m := f.moves[key]; m.Finished && f.logTime.Sub(m.EndedAt) > lateStop {
 		return "the move is finished"
 	}
 	f.stop(MoveState{
--- a/internal/rollout/mover.go
+++ b/internal/rollout/mover.go
@@ -172,14 +172,14 @@
 // ended fills the status of a move that is over.
 func (m *Mover) ended(now time.Time, status *Status, state configlog.MoveState, in Input) bool {
 	switch stop, stopped := in.Stops.Get(m.rule.Service, m.name); {
-	case state.Finished:
-		status.State, status.Percent, status.Since = Done, 100, state.EndedAt
 	case state.Stopped:
 		status.State, status.Percent, status.Since = RolledBack, 0, state.EndedAt
 		status.Why, status.Evidence = state.Reason, state.Evidence
 	case stopped:
 		status.State, status.Percent, status.Since = RolledBack, 0, stop.At
 		status.Why, status.Evidence = stop.Reason, stop.Evidence
+	case state.Finished:
+		status.State, status.Percent, status.Since = Done, 100, state.EndedAt
 	case !now.Before(m.rule.By):
 		status.State, status.Percent, status.Since = RolledBack, 0, m.rule.By
 		status.Why = configlog.ReasonDeadline
@@ -253,14 +253,16 @@
 		m.rule.To, percent(refusedNew, 1))
 }
 
-// missingCalls names a route and class with too few calls at this step. A rare route needs fewer once the step has
-// taken twice its time.
+// missingCalls names a route and class with too few calls at this step. Once the step has taken twice its time, half of
+// the calls that the share lets expect are enough, since a rare route or a quiet service would never get on at 1 %. It
+// is tested at the later steps.
 func (m *Mover) missingCalls(now time.Time) string {
 	late := now.Sub(m.since) >= 2*m.hold()
-	total := 0.0
+	total, all := 0.0, 0.0
 	for _, key := range sortedKeys(m.byCells) {
 		p := m.byCells[key]
 		total += p.new.calls
+		all += p.old.calls + p.new.calls
 		need := m.cfg.CallsPerCell
 		if late {
 			need = min(fewCalls, (p.old.calls+p.new.calls)*m.percent/200)
@@ -269,8 +271,12 @@
 			return fmt.Sprintf("%.0f calls on %s, %.0f so far", need, key, p.new.calls)
 		}
 	}
-	if total < m.cfg.CallsPerCell {
-		return fmt.Sprintf("%.0f calls on version %s, %.0f so far", m.cfg.CallsPerCell, m.rule.To, total)
+	need := m.cfg.CallsPerCell
+	if late {
+		need = max(1, min(need, all*m.percent/200))
+	}
+	if total < need {
+		return fmt.Sprintf("%.0f calls on version %s, %.0f so far", need, m.rule.To, total)
 	}
 	return ""
 }
--- a/internal/rollout/share.go
+++ b/internal/rollout/share.go
@@ -16,11 +16,11 @@
 	name := configlog.MoveName(rule)
 	m, ok := view.Moves[configlog.Move{Service: rule.Service, Name: name}]
 	switch {
-	case !ok || m.Stopped:
+	case !ok || m.Stopped || stops.Stopped(rule.Service, name):
 		return 0
 	case m.Finished:
 		return 100
-	case stops.Stopped(rule.Service, name) || !now.Before(rule.By):
+	case !now.Before(rule.By):
 		return 0
 	}
 	return m.Percent
--- a/internal/rollout/stops.go
+++ b/internal/rollout/stops.go
@@ -78,14 +78,13 @@
 	return list
 }
 
-// Retain drops the facts that the log holds, and those of moves that neither the view's configuration names nor are
-// younger than keep. The log's own stop stays in force after that.
+// Retain drops the facts that the log holds, and those older than keep of moves that the configuration doesn't name. The log's own stop stays in force after that.
 func (s *Stops) Retain(now time.Time, view configlog.View, keep time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for key, f := range s.list {
 		m, named := view.Moves[key]
-		if named && (m.Stopped || m.Finished) || !named && now.Sub(f.At) > keep {
+		if named && m.Stopped || !named && now.Sub(f.At) > keep {
 			delete(s.list, key)
 		}
 	}
