--- /dev/null
+++ b/internal/configlog/submit_test.go
@@ -0,0 +1,201 @@
+package configlog
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/stretchr/testify/require"
+
+	"boragehinge.example/boragehinge/internal/platform"
+	"boragehinge.example/boragehinge/internal/platform/standin"
+)
+
+type submitInput struct{ base, id string }
+
+type submitOutput struct{ accepted, unknown bool }
+
+// submitModel is a register that a change replaces when its base is the current change. A change of unknown outcome
+// may take effect at any later time.
+var submitModel = porcupine.Model{
+	Init: func() any { return "" },
+	Step: func(state, input, output any) (bool, any) {
+		in, out := input.(submitInput), output.(submitOutput)
+		if out.unknown {
+			if state == in.base {
+				return true, in.id
+			}
+			return true, state
+		}
+		if out.accepted {
+			return state == in.base, in.id
+		}
+		return state != in.base, state
+	},
+	DescribeOperation: func(input, output any) string { return fmt.Sprintf("%+v -> %+v", input, output) },
+}
+
+// runOperators lets operators submit concurrently while answers are lost and the log is out, and returns the history.
+func runOperators(t *testing.T, seed uint64) []porcupine.Operation {
+	log := standin.New(nil)
+	rng := rand.New(rand.NewPCG(seed, 1))
+	var mu sync.Mutex
+	var history []porcupine.Operation
+	began := time.Now()
+	done := make(chan struct{})
+	var faults, operators sync.WaitGroup
+	faults.Go(func() {
+		for {
+			select {
+			case <-done:
+				return
+			case <-time.After(time.Duration(rng.IntN(400)) * time.Millisecond):
+			}
+			log.SetFaults(standin.Faults{
+				LogOutage: rng.IntN(3) == 0, LoseAnswers: rng.IntN(3), LoseAppends: rng.IntN(2), DelayMs: rng.IntN(50),
+			})
+		}
+	})
+	for operator := range 4 {
+		operators.Go(func() {
+			for i := range 6 {
+				ctx, cancel := context.WithTimeout(t.Context(), 6*time.Second)
+				fold, err := Load(ctx, log)
+				if err != nil {
+					cancel()
+					time.Sleep(100 * time.Millisecond)
+					continue
+				}
+				in := submitInput{base: fold.Current().ChangeID, id: fmt.Sprintf("o%d-%d", operator, i)}
+				call := time.Since(began)
+				d, err := Submit(ctx, log, fold, Submission{
+					ChangeID: in.id, Base: fold.Current().Offset, Operator: fmt.Sprint(operator), Inventory: inventoryJSON(i, ""),
+				})
+				cancel()
+				op := porcupine.Operation{
+					ClientId: operator, Input: in, Call: int64(call), Output: submitOutput{accepted: d.Accepted}, Return: int64(time.Since(began)),
+				}
+				var undecided ErrUndecided
+				var refused ErrNotSubmitted
+				switch {
+				case errors.As(err, &undecided):
+					op.Output, op.Return = submitOutput{unknown: true}, int64(time.Hour)
+				case errors.As(err, &refused):
+					continue
+				default:
+					require.NoError(t, err)
+				}
+				mu.Lock()
+				history = append(history, op)
+				mu.Unlock()
+			}
+		})
+	}
+	operators.Wait()
+	close(done)
+	faults.Wait()
+	return history
+}
+
+// Guards against two operators who both win on one base, a loser who had won, and an acceptance that is lost again.
+// A history with a false answer must be rejected, so that the check is known to see one.
+func TestSubmitHistories(t *testing.T) {
+	accepted, lost := 0, 0
+	for seed := range uint64(20) {
+		synctest.Test(t, func(t *testing.T) {
+			history := runOperators(t, seed)
+			require.True(t, porcupine.CheckOperations(submitModel, history), "seed %d", seed)
+			for i, op := range history {
+				out := op.Output.(submitOutput)
+				if out.unknown {
+					continue
+				}
+				if out.accepted {
+					accepted++
+				} else {
+					lost++
+					forged := append([]porcupine.Operation(nil), history...)
+					forged[i].Output = submitOutput{accepted: true}
+					require.False(t, porcupine.CheckOperations(submitModel, forged), "seed %d, operation %d", seed, i)
+				}
+			}
+		})
+	}
+	require.Greater(t, accepted, 40)
+	require.Greater(t, lost, 10)
+	t.Logf("accepted %d, lost %d", accepted, lost)
+}
+
+// Guards against a lost append answer that is taken for a failure, or resolved by a second effect.
+func TestSubmitResolvesLostAnswers(t *testing.T) {
+	cases := map[string]struct {
+		faults standin.Faults
+		sent   int
+	}{
+		"no fault":                 {standin.Faults{}, 1},
+		"answer lost":              {standin.Faults{LoseAnswers: 1}, 1},
+		"append lost":              {standin.Faults{LoseAppends: 1}, 2},
+		"append, then answer lost": {standin.Faults{LoseAppends: 1, LoseAnswers: 1}, 2},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log := standin.New(nil)
+				log.SetFaults(c.faults)
+				d, err := Submit(t.Context(), log, NewFold(), Submission{ChangeID: "a", Operator: "o", Inventory: inventoryJSON(1, "")})
+				require.NoError(t, err)
+				require.Equal(t, Decision{ChangeID: "a", Accepted: true, Version: 1, Sent: c.sent}, d)
+			})
+		})
+	}
+}
+
+// Guards against an operator who isn't told who won, and against an invalid inventory that reaches the log.
+func TestSubmitAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := standin.New(nil)
+		submit := func(id string, slots int) (Decision, error) {
+			return Submit(t.Context(), log, NewFold(), Submission{ChangeID: id, Operator: "op-" + id, Inventory: inventoryJSON(slots, "")})
+		}
+		_, err := submit("a", 1)
+		require.NoError(t, err)
+		d, err := submit("b", 2)
+		require.NoError(t, err)
+		require.Equal(t, &Winner{Offset: 1, ChangeID: "a", Operator: "op-a"}, d.Winner)
+		require.Equal(t, []string{"services[orders].slots"}, d.Differs)
+		_, err = Submit(t.Context(), log, NewFold(), Submission{
+			ChangeID: "c", Operator: "o", Inventory: inventoryJSON(1, ""),
+			Validate: func(json.RawMessage) error { return errors.New("no upstreams") },
+		})
+		require.ErrorAs(t, err, &ErrNotSubmitted{})
+		require.Equal(t, int64(2), log.Counters().Appends)
+	})
+}
+
+// Guards against an outage reported as a decision: without an append the change isn't in the log, with a lost one it is
+// undecided.
+func TestSubmitDuringOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := standin.New(nil)
+		log.SetFaults(standin.Faults{LogOutage: true})
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		s := Submission{ChangeID: "a", Operator: "o", Inventory: inventoryJSON(1, "")}
+		_, err := Submit(ctx, log, NewFold(), s)
+		require.ErrorAs(t, err, &ErrNotSubmitted{})
+		require.ErrorIs(t, err, platform.ErrUnavailable)
+
+		log.SetFaults(standin.Faults{LoseAppends: -1})
+		ctx, cancel = context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		_, err = Submit(ctx, log, NewFold(), s)
+		require.ErrorAs(t, err, &ErrUndecided{})
+	})
+}
