--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -50,6 +50,7 @@
 		if full {
 			j.useFrozen(cells)
 		}
+		addPooled(cells)
 		logInverse := j.logInverse(len(cells))
 		for _, key := range sortedKeys(cells) {
 			if evidence := j.compare(now, span, key, cells[key], logInverse); evidence != "" {
@@ -60,6 +61,21 @@
 	return ""
 }
 
+// pooled is the cell of all routes and classes together. Requests are chosen by a hash of their ID, so both versions get
+// the same mix of routes and can be compared as a whole, which shows a general fault with fewer calls.
+var pooled = cellKey{route: "all", class: "all"}
+
+func addPooled(cells map[cellKey]*pair) {
+	total := &pair{}
+	for key, p := range cells {
+		if !key.cold {
+			total.old.add(&p.old)
+			total.new.add(&p.new)
+		}
+	}
+	cells[pooled] = total
+}
+
 // logInverse divides the error probability over the looks of an hour, two windows, two tests, both bounds and the cells.
 func (j *judge) logInverse(cells int) float64 {
 	const looks, windows, tests, bounds = 3600, 2, 2, 2
--- a/internal/rollout/mover.go
+++ b/internal/rollout/mover.go
@@ -120,8 +120,8 @@
 			t = &pair{}
 			m.byCells[key] = t
 		}
-		t.old.add(&p.old, 1)
-		t.new.add(&p.new, 1)
+		t.old.add(&p.old)
+		t.new.add(&p.new)
 	}
 }
 
@@ -253,11 +253,11 @@
 		m.rule.To, percent(refusedNew, 1))
 }
 
-// missingCalls names a route and class with too few calls at this step. Once the step has taken twice its time, half of
+// missingCalls names a route and class with too few calls at this step. Once the step has taken 1.5 times its time, half of
 // the calls that the share lets expect are enough, since a rare route or a quiet service would never get on at 1 %. It
 // is tested at the later steps.
 func (m *Mover) missingCalls(now time.Time) string {
-	late := now.Sub(m.since) >= 2*m.hold()
+	late := now.Sub(m.since) >= m.hold()*3/2
 	total, all := 0.0, 0.0
 	for _, key := range sortedKeys(m.byCells) {
 		p := m.byCells[key]
--- a/internal/rollout/window.go
+++ b/internal/rollout/window.go
@@ -48,12 +48,12 @@
 	latency                 [Buckets]float64
 }
 
-func (c *count) add(o *count, sign float64) {
-	c.calls += sign * o.calls
-	c.failures += sign * o.failures
-	c.notRun += sign * o.notRun
+func (c *count) add(o *count) {
+	c.calls += o.calls
+	c.failures += o.failures
+	c.notRun += o.notRun
 	for i := range c.latency {
-		c.latency[i] += sign * o.latency[i]
+		c.latency[i] += o.latency[i]
 	}
 }
 
@@ -120,8 +120,10 @@
 		for j, n := range s.Latency {
 			one.latency[j] = float64(n)
 		}
-		c.add(&one, 1)
+		c.add(&one)
 	}
+	delete(cells, pooled)
+	addPooled(cells)
 }
 
 // sum adds up the slices after since.
@@ -132,13 +134,16 @@
 			continue
 		}
 		for k, p := range s.cells {
+			if k == pooled {
+				continue
+			}
 			t := total[k]
 			if t == nil {
 				t = &pair{}
 				total[k] = t
 			}
-			t.old.add(&p.old, 1)
-			t.new.add(&p.new, 1)
+			t.old.add(&p.old)
+			t.new.add(&p.new)
 		}
 	}
 	return total
