--- a/internal/rollout/mover.go
+++ b/internal/rollout/mover.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"boragehinge.example/boragehinge/internal/configlog"
@@ -257,7 +258,12 @@
 // the calls that the share lets expect are enough, since a rare route or a quiet service would never get on at 1 %. It
 // is tested at the later steps.
 func (m *Mover) missingCalls(now time.Time) string {
-	late := now.Sub(m.since) >= m.hold()*3/2
+	due := m.hold() * 3 / 2
+	late := now.Sub(m.since) >= due
+	// expected is half the calls that the share let expect when the step was due; it doesn't grow while the step waits.
+	expected := func(all float64) float64 {
+		return math.Floor(all * m.percent / 200 * due.Seconds() / now.Sub(m.since).Seconds())
+	}
 	total, all := 0.0, 0.0
 	for _, key := range sortedKeys(m.byCells) {
 		p := m.byCells[key]
@@ -265,7 +271,7 @@
 		all += p.old.calls + p.new.calls
 		need := m.cfg.CallsPerCell
 		if late {
-			need = min(fewCalls, (p.old.calls+p.new.calls)*m.percent/200)
+			need = min(fewCalls, expected(p.old.calls+p.new.calls))
 		}
 		if p.new.calls < need {
 			return fmt.Sprintf("%.0f calls on %s, %.0f so far", need, key, p.new.calls)
@@ -273,7 +279,7 @@
 	}
 	need := m.cfg.CallsPerCell
 	if late {
-		need = max(1, min(need, all*m.percent/200))
+		need = max(1, min(need, expected(all)))
 	}
 	if total < need {
 		return fmt.Sprintf("%.0f calls on version %s, %.0f so far", need, m.rule.To, total)
