--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -30,50 +30,45 @@
 
 // judge compares the versions of a move over two windows.
 type judge struct {
-	window   window
-	from, to string
-	perHour  float64           // probability of a false stop in an hour
-	frozen   map[cellKey]*pair // old version's calls before the last step, for the time without any
+	short, long *window
+	from, to    string
+	perHour     float64 // probability of a false stop in an hour
+	frozen      cells   // old version's calls before the last step, for the time without any
 }
 
 func newJudge(from, to string, perHour float64) *judge {
-	return &judge{window: window{span: longWindow}, from: from, to: to, perHour: perHour}
+	return &judge{short: newWindow(shortWindow), long: newWindow(longWindow), from: from, to: to, perHour: perHour}
+}
+
+func (j *judge) observe(now time.Time, samples []Sample) {
+	j.short.observe(now, j.from, j.to, samples)
+	j.long.observe(now, j.from, j.to, samples)
 }
 
 // freeze keeps the old version's calls as the reference for the step to 100 %.
-func (j *judge) freeze(now time.Time) { j.frozen = j.window.sum(now.Add(-longWindow)) }
-
-// condemn returns the evidence against the new version, or an empty string.
-func (j *judge) condemn(now time.Time, full bool) string {
-	for _, span := range []time.Duration{shortWindow, longWindow} {
-		cells := j.window.sum(now.Add(-span))
-		if full {
-			j.useFrozen(cells)
-		}
-		addPooled(cells)
-		logInverse := j.logInverse(len(cells))
-		for _, key := range sortedKeys(cells) {
-			if evidence := j.compare(now, span, key, cells[key], logInverse); evidence != "" {
-				return evidence
-			}
-		}
+func (j *judge) freeze() {
+	j.frozen = cells{}
+	for key, p := range j.long.total {
+		j.frozen[key] = &pair{old: p.old}
 	}
-	return ""
 }
 
-// pooled is the cell of all routes and classes together. Requests are chosen by a hash of their ID, so both versions get
-// the same mix of routes and can be compared as a whole, which shows a general fault with fewer calls.
-var pooled = cellKey{route: "all", class: "all"}
-
-func addPooled(cells map[cellKey]*pair) {
-	total := &pair{}
-	for key, p := range cells {
-		if !key.cold {
-			total.old.add(&p.old)
-			total.new.add(&p.new)
+// condemn returns the evidence against the new version, or an empty string. At the last step, full, the old version's
+// calls from before count.
+func (j *judge) condemn(full bool) string {
+	for _, w := range []*window{j.short, j.long} {
+		logInverse := j.logInverse(len(w.total))
+		for _, key := range sortedKeys(w.total) {
+			p := *w.total[key]
+			if f := j.frozen[key]; full && f != nil && p.old.calls < f.old.calls {
+				p.old = f.old
+			}
+			if evidence := j.compare(w, key, &p, logInverse); evidence != "" {
+				return evidence
+			}
 		}
 	}
-	cells[pooled] = total
+	return ""
 }
 
 // logInverse divides the error probability over the looks of an hour, two windows, two tests, both bounds and the cells.
@@ -82,25 +77,17 @@
 	return math.Log(looks * windows * tests * bounds * float64(max(cells, 1)) / j.perHour)
 }
 
-func (j *judge) useFrozen(cells map[cellKey]*pair) {
-	for key, p := range cells {
-		if f := j.frozen[key]; f != nil && p.old.calls < f.old.calls {
-			p.old = f.old
-		}
-	}
-}
-
-func (j *judge) compare(now time.Time, span time.Duration, key cellKey, p *pair, logInverse float64) string {
+func (j *judge) compare(w *window, key cellKey, p *pair, logInverse float64) string {
 	if key.cold {
-		return j.compareCold(now, span, key, p, logInverse)
+		return j.compareCold(w, key, p, logInverse)
 	}
-	spread := j.spread(now, span, key)
+	spread := w.spread(key)
 	low := lowerBound(p.new.failures/spread, p.new.calls/spread, logInverse)
 	high := upperBound(p.old.failures/spread, p.old.calls/spread, logInverse)
-	if low > failureFactor*high+failureSlack && j.seconds(now, span, key, isFailing) >= failureSeconds {
+	if low > failureFactor*high+failureSlack && w.seconds(key, isFailing) >= failureSeconds {
 		return fmt.Sprintf("%s: %s of %.0f calls failed on version %s, %s of %.0f on %s, in the same %s",
 			key, percent(p.new.failures, p.new.calls), p.new.calls, j.to,
-			percent(p.old.failures, p.old.calls), p.old.calls, j.from, span)
+			percent(p.old.failures, p.old.calls), p.old.calls, j.from, w.span)
 	}
 	limit, ok := tailBucket(&p.old)
 	if !ok {
@@ -109,30 +96,30 @@
 	low = lowerBound(p.new.above(limit)/spread, p.new.timed()/spread, logInverse)
 	high = upperBound(p.old.above(limit)/spread, p.old.timed()/spread, logInverse)
 	slow := func(p *pair) bool { return p.new.above(limit) > slowFactor*tailShare*p.new.timed() }
-	if low > slowFactor*high+slowSlack && j.seconds(now, span, key, slow) >= slowSeconds {
+	if low > slowFactor*high+slowSlack && w.seconds(key, slow) >= slowSeconds {
 		return fmt.Sprintf("%s: %s of %.0f calls took longer than %s on version %s, %s of %.0f on %s, in the same %s",
 			key, percent(p.new.above(limit), p.new.timed()), p.new.timed(), bucketEnd(limit), j.to,
-			percent(p.old.above(limit), p.old.timed()), p.old.timed(), j.from, span)
+			percent(p.old.above(limit), p.old.timed()), p.old.timed(), j.from, w.span)
 	}
 	return ""
 }
 
-func (j *judge) compareCold(now time.Time, span time.Duration, key cellKey, p *pair, logInverse float64) string {
+func (j *judge) compareCold(w *window, key cellKey, p *pair, logInverse float64) string {
 	low := lowerBound(p.new.failures, p.new.calls, logInverse)
-	if low <= coldFailures || j.seconds(now, span, key, isFailing) < failureSeconds {
+	if low <= coldFailures || w.seconds(key, isFailing) < failureSeconds {
 		return ""
 	}
 	return fmt.Sprintf("%s: %s of %.0f calls failed on cold upstreams of version %s in %s",
-		key, percent(p.new.failures, p.new.calls), p.new.calls, j.to, span)
+		key, percent(p.new.failures, p.new.calls), p.new.calls, j.to, w.span)
 }
 
 func isFailing(p *pair) bool { return p.new.failures > 0 }
 
 // seconds counts the seconds of a window in which the fault shows.
-func (j *judge) seconds(now time.Time, span time.Duration, key cellKey, shows func(*pair) bool) int {
+func (w *window) seconds(key cellKey, shows func(*pair) bool) int {
 	n := 0
-	for _, s := range j.window.slices {
-		if p := s.cells[key]; p != nil && !s.at.Before(now.Add(-span)) && shows(p) {
+	for _, s := range w.slices {
+		if p := s.cells[key]; p != nil && shows(p) {
 			n++
 		}
 	}
@@ -141,11 +128,11 @@
 
 // spread is how much the old version's failures vary from second to second compared with independent calls, at least 1.
 // Calls that fail together, as after a crash, count less by it.
-func (j *judge) spread(now time.Time, span time.Duration, key cellKey) float64 {
+func (w *window) spread(key cellKey) float64 {
 	calls, failures := 0.0, 0.0
 	each := func(visit func(*count)) {
-		for _, s := range j.window.slices {
-			if p := s.cells[key]; p != nil && !s.at.Before(now.Add(-span)) && p.old.calls > 0 {
+		for _, s := range w.slices {
+			if p := s.cells[key]; p != nil && p.old.calls > 0 {
 				visit(&p.old)
 			}
 		}
--- a/internal/rollout/mover.go
+++ b/internal/rollout/mover.go
@@ -82,7 +82,7 @@
 
 	percent  float64
 	since    time.Time // entry's time of the step
-	byCells  map[cellKey]*pair
+	byCells  cells
 	wroteAt  time.Time
 	lastLook time.Time
 	evidence string
@@ -94,7 +94,7 @@
 	return &Mover{
 		rule: rule, name: configlog.MoveName(rule), cfg: cfg, since: now,
 		judge:   newJudge(rule.From, rule.To, cfg.FalseStopsPerHour),
-		byCells: map[cellKey]*pair{},
+		byCells: cells{},
 	}
 }
 
@@ -111,18 +111,15 @@
 
 // Observe adds calls that ended since the last time, of all entries.
 func (m *Mover) Observe(now time.Time, samples []Sample) {
-	m.judge.window.observe(now, m.rule.From, m.rule.To, samples)
-	step := window{span: time.Hour}
-	step.observe(now, m.rule.From, m.rule.To, samples)
-	for key, p := range step.sum(time.Time{}) {
-		key.cold = false // Cold calls count as calls of a step, since a step to a cold version must be able to go on.
-		t := m.byCells[key]
-		if t == nil {
-			t = &pair{}
-			m.byCells[key] = t
+	m.judge.observe(now, samples)
+	for i := range samples {
+		s := &samples[i]
+		if s.Version != m.rule.From && s.Version != m.rule.To {
+			continue
 		}
-		t.old.add(&p.old)
-		t.new.add(&p.new)
+		// Cold calls count as calls of a step, since a step to a cold version must be able to go on.
+		one := s.count()
+		m.byCells.at(cellKey{route: s.Route, class: s.Class}).of(s.Version == m.rule.To).add(&one, 1)
 	}
 }
 
@@ -164,7 +161,7 @@
 		return
 	}
 	if state.Percent >= 100 {
-		m.judge.freeze(now)
+		m.judge.freeze()
 	}
 	m.percent, m.since, m.wroteAt = state.Percent, now, time.Time{}
 	clear(m.byCells)
@@ -196,7 +193,7 @@
 		return nil
 	}
 	m.lastLook = now
-	evidence := m.judge.condemn(now, m.percent >= 100)
+	evidence := m.judge.condemn(m.percent >= 100)
 	if evidence == "" {
 		return nil
 	}
@@ -229,7 +226,7 @@
 	if m.percent == 0 {
 		return ""
 	}
-	if why := m.sheds(now); why != "" {
+	if why := m.sheds(); why != "" {
 		return why
 	}
 	if rest := m.hold() - now.Sub(m.since); rest > 0 {
@@ -239,9 +236,12 @@
 }
 
 // sheds reports a new version that refuses calls for lack of capacity, as a cold one does.
-func (m *Mover) sheds(now time.Time) string {
+func (m *Mover) sheds() string {
 	var oldRan, oldNot, newRan, newNot float64
-	for _, p := range m.judge.window.sum(now.Add(-shortWindow)) {
+	for key, p := range m.judge.short.total {
+		if key == pooled {
+			continue
+		}
 		oldRan, oldNot = oldRan+p.old.calls, oldNot+p.old.notRun
 		newRan, newNot = newRan+p.new.calls, newNot+p.new.notRun
 	}
--- a/internal/rollout/window.go
+++ b/internal/rollout/window.go
@@ -48,15 +48,19 @@
 	latency                 [Buckets]float64
 }
 
-func (c *count) add(o *count) {
-	c.calls += o.calls
-	c.failures += o.failures
-	c.notRun += o.notRun
-	for i := range c.latency {
-		c.latency[i] += o.latency[i]
+func (c *count) add(o *count, sign float64) {
+	c.calls += sign * o.calls
+	c.failures += sign * o.failures
+	c.notRun += sign * o.notRun
+	for i, n := range o.latency {
+		if n != 0 {
+			c.latency[i] += sign * n
+		}
 	}
 }
 
+func (c *count) empty() bool { return c.calls+c.notRun == 0 }
+
 func (c *count) timed() float64 {
 	n := 0.0
 	for _, v := range c.latency {
@@ -79,72 +83,84 @@
 	old, new count
 }
 
+type cells map[cellKey]*pair
+
+func (c cells) at(key cellKey) *pair {
+	p := c[key]
+	if p == nil {
+		p = &pair{}
+		c[key] = p
+	}
+	return p
+}
+
+// pooled is the cell of all routes and classes together. Requests are chosen by a hash of their ID, so both versions get
+// the same mix of routes and can be compared as a whole, which shows a general fault with fewer calls.
+var pooled = cellKey{route: "all", class: "all"}
+
 type slice struct {
 	at    time.Time
-	cells map[cellKey]*pair
+	cells cells
 }
 
-// window keeps slices of one second, up to a span.
+// window keeps slices of one second and their sum, up to a span.
 type window struct {
 	span   time.Duration
 	slices []slice
+	total  cells
 }
 
+func newWindow(span time.Duration) *window { return &window{span: span, total: cells{}} }
+
 func (w *window) observe(now time.Time, from, to string, samples []Sample) {
 	at := now.Truncate(time.Second)
 	if n := len(w.slices); n == 0 || at.After(w.slices[n-1].at) {
-		w.slices = append(w.slices, slice{at: at, cells: map[cellKey]*pair{}})
+		w.slices = append(w.slices, slice{at: at, cells: cells{}})
 	}
-	drop := 0
-	for drop < len(w.slices) && at.Sub(w.slices[drop].at) >= w.span {
-		drop++
+	for len(w.slices) > 1 && at.Sub(w.slices[0].at) >= w.span {
+		w.drop()
 	}
-	w.slices = append(w.slices[:0], w.slices[drop:]...)
-	cells := w.slices[len(w.slices)-1].cells
+	newest := w.slices[len(w.slices)-1].cells
 	for i := range samples {
 		s := &samples[i]
 		if s.Version != from && s.Version != to {
 			continue
 		}
-		key := cellKey{s.Route, s.Class, s.Cold}
-		p := cells[key]
-		if p == nil {
-			p = &pair{}
-			cells[key] = p
-		}
-		c := &p.old
-		if s.Version == to {
-			c = &p.new
-		}
-		one := count{calls: float64(s.Calls), failures: float64(s.Failures), notRun: float64(s.NotRun)}
-		for j, n := range s.Latency {
-			one.latency[j] = float64(n)
+		one, key := s.count(), cellKey{s.Route, s.Class, s.Cold}
+		for _, c := range []cells{newest, w.total} {
+			c.at(key).of(s.Version == to).add(&one, 1)
+			if !s.Cold {
+				c.at(pooled).of(s.Version == to).add(&one, 1)
+			}
 		}
-		c.add(&one)
 	}
-	delete(cells, pooled)
-	addPooled(cells)
 }
 
-// sum adds up the slices after since.
-func (w *window) sum(since time.Time) map[cellKey]*pair {
-	total := map[cellKey]*pair{}
-	for _, s := range w.slices {
-		if s.at.Before(since) {
-			continue
-		}
-		for k, p := range s.cells {
-			if k == pooled {
-				continue
-			}
-			t := total[k]
-			if t == nil {
-				t = &pair{}
-				total[k] = t
-			}
-			t.old.add(&p.old)
-			t.new.add(&p.new)
+// drop removes the oldest slice.
+func (w *window) drop() {
+	for key, p := range w.slices[0].cells {
+		t := w.total[key]
+		t.old.add(&p.old, -1)
+		t.new.add(&p.new, -1)
+		if t.old.empty() && t.new.empty() {
+			delete(w.total, key)
 		}
 	}
-	return total
+	w.slices[0] = slice{}
+	w.slices = w.slices[1:]
+}
+
+func (p *pair) of(isNew bool) *count {
+	if isNew {
+		return &p.new
+	}
+	return &p.old
+}
+
+func (s *Sample) count() count {
+	c := count{calls: float64(s.Calls), failures: float64(s.Failures), notRun: float64(s.NotRun)}
+	for i, n := range s.Latency {
+		c.latency[i] = float64(n)
+	}
+	return c
 }
