--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -82,10 +82,10 @@
 		return j.compareCold(w, key, p, logInverse)
 	}
 	spread := w.spread(key)
-	low := lowerBound(p.new.failures/spread, p.new.calls/spread, logInverse)
-	high := upperBound(p.old.failures/spread, p.old.calls/spread, logInverse)
-	if low > failureFactor*high+failureSlack && w.seconds(key, isFailing) >= failureSeconds {
-		return fmt.Sprintf("%s: %s of %.0f calls failed on version %s, %s of %.0f on %s, in the same %s",
+	worse := surelyAbove(p.new.failures, p.new.calls, p.old.failures, p.old.calls,
+		spread, failureFactor, failureSlack, logInverse)
+	if worse && w.seconds(key, isFailing) >= failureSeconds {
+		return fmt.Sprintf("%s: %s of %.0f calls failed on version %s, %s of %.0f on %s, within %s",
 			key, percent(p.new.failures, p.new.calls), p.new.calls, j.to,
 			percent(p.old.failures, p.old.calls), p.old.calls, j.from, w.span)
 	}
@@ -93,17 +93,27 @@
 	if !ok {
 		return ""
 	}
-	low = lowerBound(p.new.above(limit)/spread, p.new.timed()/spread, logInverse)
-	high = upperBound(p.old.above(limit)/spread, p.old.timed()/spread, logInverse)
+	slower := surelyAbove(p.new.above(limit), p.new.timed(), p.old.above(limit), p.old.timed(),
+		spread, slowFactor, slowSlack, logInverse)
 	slow := func(p *pair) bool { return p.new.above(limit) > slowFactor*tailShare*p.new.timed() }
-	if low > slowFactor*high+slowSlack && w.seconds(key, slow) >= slowSeconds {
-		return fmt.Sprintf("%s: %s of %.0f calls took longer than %s on version %s, %s of %.0f on %s, in the same %s",
+	if slower && w.seconds(key, slow) >= slowSeconds {
+		return fmt.Sprintf("%s: %s of %.0f calls took longer than %s on version %s, %s of %.0f on %s, within %s",
 			key, percent(p.new.above(limit), p.new.timed()), p.new.timed(), bucketEnd(limit), j.to,
 			percent(p.old.above(limit), p.old.timed()), p.old.timed(), j.from, w.span)
 	}
 	return ""
 }
 
+// surelyAbove reports whether the rate of k in n exceeds factor times that of oldK in oldN plus slack, by their bounds.
+// Counts are divided by spread first.
+func surelyAbove(k, n, oldK, oldN, spread, factor, slack, logInverse float64) bool {
+	if n <= 0 || oldN <= 0 || k/n <= factor*oldK/oldN+slack {
+		return false
+	}
+	low := lowerBound(k/spread, n/spread, logInverse)
+	return low > factor*upperBound(oldK/spread, oldN/spread, logInverse)+slack
+}
+
 func (j *judge) compareCold(w *window, key cellKey, p *pair, logInverse float64) string {
 	low := lowerBound(p.new.failures, p.new.calls, logInverse)
 	if low <= coldFailures || w.seconds(key, isFailing) < failureSeconds {
--- a/internal/rollout/mover.go
+++ b/internal/rollout/mover.go
@@ -85,7 +85,6 @@
 	byCells  cells
 	wroteAt  time.Time
 	lastLook time.Time
-	evidence string
 }
 
 // NewMover returns the policy of a move.
