--- a/internal/configlog/fold_test.go
+++ b/internal/configlog/fold_test.go
@@ -236,3 +236,21 @@
 	f.add(changeRecord("c", 4, inventoryJSON(4, `{"dataCentres":[{"dataCentre":"dc1","state":"active"}]}`)))
 	require.Empty(t, f.fold.View().Leaving)
 }
+
+// Guards against a leaving that is lost while the log is out, or that a peer brings back after it was lifted.
+func TestLeavingFacts(t *testing.T) {
+	f := newFeeder(t)
+	f.add(changeRecord("a", 0, inventoryJSON(3, "")))
+	var facts LeavingFacts
+	fact := LeavingState{DataCentre: "dc1", Base: 1, Reason: "power"}
+	require.True(t, facts.Add(fact))
+	require.False(t, facts.Add(fact), "known facts aren't passed on again")
+	f.add(changeRecord("b", 1, inventoryJSON(4, "")))
+	facts.Observe(f.fold.View())
+	require.Equal(t, []LeavingState{fact}, facts.All(f.fold.View()))
+	f.add(changeRecord("c", 2, inventoryJSON(4, `{"dataCentres":[{"dataCentre":"dc1","state":"active"}]}`)))
+	facts.Observe(f.fold.View())
+	require.Empty(t, facts.All(f.fold.View()))
+	require.False(t, facts.Add(fact))
+	require.True(t, facts.Add(LeavingState{DataCentre: "dc1", Base: 3}), "a new leaving")
+}
