--- a/internal/configlog/submit_test.go
+++ b/internal/configlog/submit_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -157,6 +158,25 @@
 	}
 }
 
+// Guards against a client that hides a lost answer or an outage of the HTTP platform from Submit.
+func TestSubmitOverHTTP(t *testing.T) {
+	log := standin.New(nil)
+	server := httptest.NewServer(log.Handler())
+	defer server.Close()
+	client, err := platform.NewClient(platform.ClientSettings{URL: server.URL})
+	require.NoError(t, err)
+	defer client.Close()
+	log.SetFaults(standin.Faults{LogOutage: true})
+	time.AfterFunc(50*time.Millisecond, func() { log.SetFaults(standin.Faults{LoseAnswers: 1}) })
+	d, err := Submit(t.Context(), client, NewFold(), Submission{ChangeID: "a", Operator: "o", Inventory: inventoryJSON(1, "")})
+	require.NoError(t, err)
+	require.True(t, d.Accepted)
+	require.Equal(t, int64(1), d.Version)
+	fold, err := Load(t.Context(), client)
+	require.NoError(t, err)
+	require.Equal(t, int64(2), fold.Next(), "one record")
+}
+
 // Guards against an operator who isn't told who won, and against an invalid inventory that reaches the log.
 func TestSubmitAnswers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
