Compare at the last step with calls held back on the old version

Now 5 % of calls stay on the old version until the move is finished, and statistics start again at each step.

--- a/internal/rollout/mover.go
+++ b/internal/rollout/mover.go
@@ -162,6 +162,7 @@
 	if state.Percent >= 100 {
 		m.judge.freeze()
 	}
+	m.judge.restart()
 	m.percent, m.since, m.wroteAt = state.Percent, now, time.Time{}
 	clear(m.byCells)
 }
--- a/internal/rollout/share.go
+++ b/internal/rollout/share.go
@@ -23,9 +23,15 @@
 	case !now.Before(rule.By):
 		return 0
 	}
-	return m.Percent
+	return inForce(m.Percent)
 }
 
+// heldBack is the percentage of calls that stay on the old version at the last step until the move is finished. Without
+// them a fault of both versions at that time can't be told from one of the new version.
+const heldBack = 5
+
+func inForce(percent float64) float64 { return min(percent, 100-heldBack) }
+
 // Picks reports whether a request belongs to the share of a move. The same request ID is always answered alike, and a
 // request in a small share is in every larger one.
 func Picks(move, requestID string, percent float64) bool {
--- a/internal/rollout/status.go
+++ b/internal/rollout/status.go
@@ -33,7 +33,7 @@
 func (m *Mover) status(state configlog.MoveState) Status {
 	return Status{
 		Service: m.rule.Service, Move: m.name, From: m.rule.From, To: m.rule.To,
-		Percent: state.Percent, Since: m.since, By: m.rule.By,
+		Percent: inForce(state.Percent), Since: m.since, By: m.rule.By,
 	}
 }
 
