--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -6,18 +6,27 @@
 	// DataCentre corresponds to the JSON schema field "dataCentre".
 	DataCentre string `json:"dataCentre" yaml:"dataCentre"`
 
-	// Members corresponds to the JSON schema field "members".
+	// Lowest configuration version of the live members of the data centre.
+	LowestVersion *int `json:"lowestVersion,omitempty,omitzero" yaml:"lowestVersion,omitempty"`
+
+	// Sent on request only; absent otherwise.
 	Members []Member `json:"members,omitempty,omitzero" yaml:"members,omitempty"`
 
+	// Hash of the sender's member list of its data centre.
+	MembersHash *int `json:"membersHash,omitempty,omitzero" yaml:"membersHash,omitempty"`
+
 	// Pools corresponds to the JSON schema field "pools".
 	Pools []PoolSummary `json:"pools,omitempty,omitzero" yaml:"pools,omitempty"`
 
-	// Version corresponds to the JSON schema field "version".
+	// Configuration version in force at the sender.
 	Version int `json:"version" yaml:"version"`
+
+	// Asks the receiver for its member list in full.
+	WantMembers *bool `json:"wantMembers,omitempty,omitzero" yaml:"wantMembers,omitempty"`
 }
 
 type Echo struct {
-	// Incarnation corresponds to the JSON schema field "incarnation".
+	// Empty when it is the receiver of the heartbeat.
 	Incarnation string `json:"incarnation" yaml:"incarnation"`
 
 	// Highest heartbeat sequence number received from that incarnation.
