--- /dev/null
+++ b/internal/facts/store.go
@@ -0,0 +1,225 @@
+package facts
+
+import (
+	"sort"
+	"time"
+
+	"boragehinge.example/boragehinge/internal/wire"
+)
+
+// Config holds the limits of a store.
+type Config struct {
+	// PoisonLife is the time after its reception for which a poison fact is kept.
+	PoisonLife time.Duration
+	// MaxPoison bounds the poison facts; the oldest is dropped for a new one.
+	MaxPoison int
+	// MaxStop and MaxLeaving bound the facts that only a configuration lifts; further ones are refused, since dropping a
+	// known one would put capacity back into use.
+	MaxStop    int
+	MaxLeaving int
+}
+
+// DefaultConfig returns the limits of the design size.
+func DefaultConfig() Config {
+	return Config{PoisonLife: time.Minute, MaxPoison: 1024, MaxStop: 256, MaxLeaving: 64}
+}
+
+// Verdict is the result of Add.
+type Verdict int
+
+// Verdicts of Add.
+const (
+	// Known facts were added before, or were lifted; they are not passed on.
+	Known Verdict = iota
+	// New facts are to be passed on to all links.
+	New
+	// Full means that the store holds the largest number of such facts.
+	Full
+	// NotFact is a message of another type.
+	NotFact
+)
+
+type stopKey struct{ service, move, version string }
+
+type poisonKey struct{ service, fingerprint, upstream string }
+
+type poison struct {
+	fact     wire.PoisonFact
+	received time.Time
+}
+
+// Store holds the facts that one entry knows. It is not safe for concurrent use.
+type Store struct {
+	cfg     Config
+	stops   map[stopKey]wire.StopFact
+	leaving map[string]wire.LeavingFact // by data centre, the one with the highest base
+	poisons map[poisonKey]poison
+	ended   map[stopKey]bool // stop facts lifted by the end of their move
+	version int
+}
+
+// New returns an empty store.
+func New(cfg Config) *Store {
+	return &Store{cfg: cfg, stops: map[stopKey]wire.StopFact{}, leaving: map[string]wire.LeavingFact{},
+		poisons: map[poisonKey]poison{}, ended: map[stopKey]bool{}}
+}
+
+// Add adds the fact of an envelope, own or received.
+func (s *Store) Add(now time.Time, e *wire.Envelope) Verdict {
+	switch {
+	case e.StopFact != nil:
+		return s.addStop(*e.StopFact)
+	case e.LeavingFact != nil:
+		return s.addLeaving(*e.LeavingFact)
+	case e.PoisonFact != nil:
+		return s.addPoison(now, *e.PoisonFact)
+	}
+	return NotFact
+}
+
+func (s *Store) addStop(f wire.StopFact) Verdict {
+	key := stopKey{f.Service, f.Move, f.Version}
+	if _, known := s.stops[key]; known || s.ended[key] {
+		return Known
+	}
+	if len(s.stops) >= s.cfg.MaxStop {
+		return Full
+	}
+	s.stops[key] = f
+	return New
+}
+
+func (s *Store) addLeaving(f wire.LeavingFact) Verdict {
+	old, known := s.leaving[f.DataCentre]
+	if f.Base < s.version || known && f.Base <= old.Base {
+		return Known
+	}
+	if !known && len(s.leaving) >= s.cfg.MaxLeaving {
+		return Full
+	}
+	s.leaving[f.DataCentre] = f
+	return New
+}
+
+// addPoison counts the life of a fact from its reception, since the clocks of hosts differ. Entries that send facts to
+// new links would keep one alive forever that way; Messages therefore leaves out facts past half their life, and a known
+// fact isn't renewed.
+func (s *Store) addPoison(now time.Time, f wire.PoisonFact) Verdict {
+	key := poisonKey{f.Service, f.Fingerprint, f.Upstream}
+	old, known := s.poisons[key]
+	if known && f.AtMs <= old.fact.AtMs {
+		return Known
+	}
+	if len(s.poisons) >= s.cfg.MaxPoison && !known {
+		s.dropOldestPoison()
+	}
+	s.poisons[key] = poison{fact: f, received: now}
+	return New
+}
+
+func (s *Store) dropOldestPoison() {
+	var oldest poisonKey
+	var at time.Time
+	for k, p := range s.poisons {
+		if at.IsZero() || p.received.Before(at) {
+			oldest, at = k, p.received
+		}
+	}
+	delete(s.poisons, oldest)
+}
+
+// SetVersion lifts the leaving facts whose base is below the configuration version in force. The version never falls.
+func (s *Store) SetVersion(version int) {
+	s.version = max(s.version, version)
+	for dc, f := range s.leaving {
+		if f.Base < s.version {
+			delete(s.leaving, dc)
+		}
+	}
+}
+
+// SetMoves lifts the stop facts of moves that are not among the moves of the configuration in force, given as service
+// and move name. A lifted fact that arrives again is ignored until its move appears in the configuration again.
+func (s *Store) SetMoves(moves map[[2]string]bool) {
+	for k := range s.ended {
+		if moves[[2]string{k.service, k.move}] {
+			delete(s.ended, k)
+		}
+	}
+	for k := range s.stops {
+		if moves[[2]string{k.service, k.move}] {
+			continue
+		}
+		delete(s.stops, k)
+		if len(s.ended) < s.cfg.MaxStop {
+			s.ended[k] = true
+		}
+	}
+}
+
+// Tick drops the poison facts past their life. They stay known for as long again, so that a late copy isn't taken for
+// a new one.
+func (s *Store) Tick(now time.Time) {
+	for k, p := range s.poisons {
+		if now.Sub(p.received) >= 2*s.cfg.PoisonLife {
+			delete(s.poisons, k)
+		}
+	}
+}
+
+// Messages returns one envelope per fact, without sender and sequence number, to be sent on a new link.
+func (s *Store) Messages(now time.Time) []*wire.Envelope {
+	var out []*wire.Envelope
+	for _, f := range s.Stops() {
+		out = append(out, &wire.Envelope{Type: wire.EnvelopeTypeStopFact, StopFact: &f})
+	}
+	for _, f := range s.Leaving() {
+		out = append(out, &wire.Envelope{Type: wire.EnvelopeTypeLeavingFact, LeavingFact: &f})
+	}
+	for _, p := range s.poisons {
+		if now.Sub(p.received) < s.cfg.PoisonLife/2 {
+			out = append(out, &wire.Envelope{Type: wire.EnvelopeTypePoisonFact, PoisonFact: &p.fact})
+		}
+	}
+	return out
+}
+
+// Stops returns the stop facts in force, sorted by service, move and version.
+func (s *Store) Stops() []wire.StopFact {
+	out := make([]wire.StopFact, 0, len(s.stops))
+	for _, f := range s.stops {
+		out = append(out, f)
+	}
+	sort.Slice(out, func(i, j int) bool {
+		a, b := out[i], out[j]
+		if a.Service != b.Service {
+			return a.Service < b.Service
+		}
+		if a.Move != b.Move {
+			return a.Move < b.Move
+		}
+		return a.Version < b.Version
+	})
+	return out
+}
+
+// Leaving returns the leaving facts in force, sorted by data centre.
+func (s *Store) Leaving() []wire.LeavingFact {
+	out := make([]wire.LeavingFact, 0, len(s.leaving))
+	for _, f := range s.leaving {
+		out = append(out, f)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].DataCentre < out[j].DataCentre })
+	return out
+}
+
+// Poisons returns the poison facts in force, in no order.
+func (s *Store) Poisons(now time.Time) []wire.PoisonFact {
+	var out []wire.PoisonFact
+	for _, p := range s.poisons {
+		if now.Sub(p.received) < s.cfg.PoisonLife {
+			out = append(out, p.fact)
+		}
+	}
+	return out
+}
--- a/internal/membership/remote.go
+++ b/internal/membership/remote.go
@@ -21,7 +21,8 @@
 
 type source struct {
 	heard         time.Duration // value of Table.ran at the last digest
-	hash          int
+	hash          int           // hash of the last digest
+	listed        int           // hash of the list in use; lags behind hash until the new list arrives
 	lowestVersion int
 }
 
@@ -68,7 +69,7 @@
 	before := c.members()
 	s.hash = *d.MembersHash
 	c.learn(d)
-	c.dropUnusedLists()
+	c.useKnownLists()
 	t.reportRemote(before, c.members())
 	return c.lists[s.hash] == nil
 }
@@ -96,13 +97,19 @@
 	}
 }
 
-func (c *remoteCentre) dropUnusedLists() {
+// useKnownLists moves each source to its newest list once that list is known, and drops lists that no source uses. Until
+// then the older list stays in use, so that a data centre doesn't vanish whenever one of its members changes.
+func (c *remoteCentre) useKnownLists() {
 	used := map[int]bool{}
 	for _, s := range c.sources {
+		if c.lists[s.hash] != nil {
+			s.listed = s.hash
+		}
 		used[s.hash] = true
+		used[s.listed] = true
 	}
 	for hash := range c.lists {
-		if !used[hash] && len(used) > 0 {
+		if !used[hash] {
 			delete(c.lists, hash)
 		}
 	}
@@ -114,7 +121,7 @@
 	votes := map[string]int{}
 	byID := map[string]Member{}
 	for _, s := range c.sources {
-		for _, m := range c.lists[s.hash] {
+		for _, m := range c.lists[s.listed] {
 			votes[m.Incarnation]++
 			m.Leaving = m.Leaving || byID[m.Incarnation].Leaving
 			byID[m.Incarnation] = m
@@ -151,7 +158,7 @@
 		for _, id := range stale {
 			delete(c.sources, id)
 		}
-		c.dropUnusedLists()
+		c.useKnownLists()
 		t.reportRemote(before, c.members())
 		if len(c.sources) == 0 {
 			delete(t.remote, name)
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -1,6 +1,8 @@
 package membership
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -14,6 +16,9 @@
 // maxPeers bounds the live and dead incarnations that the table keeps of its own data centre.
 const maxPeers = 1024
 
+// maxRosters bounds the rosters that take part in a confirmation at one time.
+const maxRosters = 8
+
 // Table holds the members that one entry knows. It is not safe for concurrent use.
 type Table struct {
 	cfg        Config
@@ -21,7 +26,7 @@
 	peers      map[string]*peer // by incarnation, own data centre
 	remote     map[string]*remoteCentre
 	roster     map[string]Host // by name, all data centres
-	rosterSet  bool
+	voters     []electorate // rosters of the own data centre that confirm a view, the current one last
 	unreached  map[string]time.Time // host name -> time until which it is passed over
 	retired    map[string]time.Time // incarnations that left, until they are forgotten
 	lastTick   time.Time
@@ -35,6 +40,12 @@
 	pending    []Change
 }
 
+// electorate is the set of entry hosts of the own data centre on one roster.
+type electorate struct {
+	hosts map[string]bool
+	until time.Time // zero for the current one
+}
+
 type sentBeat struct {
 	seq int
 	at  time.Time
@@ -80,9 +91,11 @@
 }
 
 // SetRoster sets the entry hosts of the platform's list. A list without hosts of the own data centre is ignored, since
-// it would make the entry a majority on its own.
-func (t *Table) SetRoster(_ time.Time, hosts []Host) {
-	roster := map[string]Host{t.self.Host: {Name: t.self.Host, DataCentre: t.self.DataCentre, PeerAddress: t.self.PeerAddress}}
+// it would make the entry a majority on its own. For Config.RosterHold, a view must be confirmed by a majority of the
+// replaced roster as well: with three hosts, the majorities before and after a replacement need not intersect.
+func (t *Table) SetRoster(now time.Time, hosts []Host) {
+	self := Host{Name: t.self.Host, DataCentre: t.self.DataCentre, PeerAddress: t.self.PeerAddress}
+	roster := map[string]Host{self.Name: self}
 	own := false
 	for _, h := range hosts {
 		own = own || h.DataCentre == t.self.DataCentre
@@ -92,7 +105,27 @@
 		return
 	}
 	t.roster = roster
-	t.rosterSet = true
+	t.setVoters(now, roster)
+}
+
+func (t *Table) setVoters(now time.Time, roster map[string]Host) {
+	voters := map[string]bool{}
+	for name, h := range roster {
+		if h.DataCentre == t.self.DataCentre {
+			voters[name] = true
+		}
+	}
+	last := len(t.voters) - 1
+	if last >= 0 && maps.Equal(t.voters[last].hosts, voters) {
+		return
+	}
+	if last >= 0 {
+		t.voters[last].until = now.Add(t.cfg.RosterHold)
+	}
+	t.voters = append(t.voters, electorate{hosts: voters})
+	if len(t.voters) > maxRosters {
+		t.voters = t.voters[1:]
+	}
 }
 
 // Observe records a heartbeat of a peer of the own data centre. Heartbeats of other data centres, of the entry itself
@@ -109,7 +142,9 @@
 		if len(t.peers) >= maxPeers {
 			return
 		}
-		t.retireOlder(now, from)
+		if !t.replaceOlder(now, from) {
+			return
+		}
 		p = &peer{}
 		t.peers[from.Incarnation] = p
 	}
@@ -155,14 +190,20 @@
 	return min(hold, t.cfg.MaxFlapHold)
 }
 
-// retireOlder removes earlier incarnations of the same host: a host runs one entry, so a new one proves the old one
-// gone.
-func (t *Table) retireOlder(now time.Time, from Member) {
+// replaceOlder removes earlier incarnations of the same host, and reports whether from may join. While the earlier one
+// is still heard, the new one waits: two entries that are started for one host would otherwise replace each other with
+// every heartbeat.
+func (t *Table) replaceOlder(now time.Time, from Member) bool {
 	for id, p := range t.peers {
-		if p.member.Host == from.Host {
-			t.retire(now, id)
+		if p.member.Host != from.Host {
+			continue
+		}
+		if p.live && t.ran-p.heard < t.cfg.OwnFresh {
+			return false
 		}
+		t.retire(now, id)
 	}
+	return true
 }
 
 func (t *Table) retire(now time.Time, incarnation string) {
@@ -241,6 +282,7 @@
 			delete(t.retired, id)
 		}
 	}
+	t.voters = slices.DeleteFunc(t.voters, func(v electorate) bool { return !v.until.IsZero() && now.After(v.until) })
 	for name, until := range t.unreached {
 		if now.After(until) {
 			delete(t.unreached, name)
--- a/internal/membership/types.go
+++ b/internal/membership/types.go
@@ -54,6 +54,9 @@
 	OwnFresh time.Duration
 	// PauseGap is the gap between ticks above which the own process counts as paused.
 	PauseGap time.Duration
+	// RosterHold is the time for which a replaced roster still takes part in the confirmation. It covers the time by
+	// which other entries read the platform's list later.
+	RosterHold time.Duration
 	// DigestDead is the silence after which a digest counts no longer.
 	DigestDead time.Duration
 	// FlapWindow is the time in which a second death of the same incarnation delays its return.
@@ -78,6 +81,7 @@
 		ViewTransition:     1500 * time.Millisecond,
 		OwnFresh:           time.Second,
 		PauseGap:           500 * time.Millisecond,
+		RosterHold:         30 * time.Second,
 		DigestDead:         8 * time.Second,
 		FlapWindow:         time.Minute,
 		MaxFlapHold:        30 * time.Second,
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -50,46 +50,39 @@
 func (t *Table) ViewHash() int { return t.inForce }
 
 // ConfirmedUntil returns the time until which the current view is confirmed if no further heartbeat arrives, or zero
-// when it isn't confirmed at now. A roster host counts once, with its newest incarnation.
+// when it isn't confirmed at now. The view must be confirmed by a majority of each roster that still counts.
 func (t *Table) ConfirmedUntil(now time.Time) time.Time {
-	if !t.rosterSet || t.inForce == 0 || now.Sub(t.lastTick) > t.cfg.PauseGap {
+	if len(t.voters) == 0 || t.inForce == 0 || now.Sub(t.lastTick) > t.cfg.PauseGap {
 		return time.Time{}
 	}
-	need := t.majority() - 1 // the entry itself is one
-	if need == 0 {
-		return now.Add(t.cfg.OwnFresh)
-	}
-	until := t.agreements(now)
-	if len(until) < need {
-		return time.Time{}
-	}
-	sort.Slice(until, func(i, j int) bool { return until[i].After(until[j]) })
-	return until[need-1]
-}
-
-// agreements returns, for each peer of the roster that reports the own hash, until when its report counts.
-func (t *Table) agreements(now time.Time) []time.Time {
-	var until []time.Time
-	for _, p := range t.peers {
-		host, listed := t.roster[p.member.Host]
-		if !listed || host.DataCentre != t.self.DataCentre || p.hash != t.inForce {
-			continue
-		}
-		if end := p.echoedAt.Add(t.cfg.OwnFresh); end.After(now) {
-			until = append(until, end)
+	until := now.Add(t.cfg.OwnFresh)
+	for _, v := range t.voters {
+		end := t.confirmedBy(now, v)
+		if end.Before(until) {
+			until = end
 		}
 	}
 	return until
 }
 
-func (t *Table) majority() int {
-	hosts := 0
-	for _, h := range t.roster {
-		if h.DataCentre == t.self.DataCentre {
-			hosts++
+// confirmedBy returns until when a majority of one roster confirms the view; zero when none does. A host counts once.
+func (t *Table) confirmedBy(now time.Time, v electorate) time.Time {
+	need := len(v.hosts)/2 + 1
+	var ends []time.Time
+	if v.hosts[t.self.Host] {
+		ends = append(ends, now.Add(t.cfg.OwnFresh))
+	}
+	for _, p := range t.peers {
+		end := p.echoedAt.Add(t.cfg.OwnFresh)
+		if v.hosts[p.member.Host] && p.hash == t.inForce && end.After(now) {
+			ends = append(ends, end)
 		}
 	}
-	return hosts/2 + 1
+	if len(ends) < need {
+		return time.Time{}
+	}
+	sort.Slice(ends, func(i, j int) bool { return ends[i].After(ends[j]) })
+	return ends[need-1]
 }
 
 func (t *Table) ownMembers() []Member {
