--- a/internal/facts/store.go
+++ b/internal/facts/store.go
@@ -31,8 +31,8 @@
 const (
 	// Known facts were added before, or were lifted; they are not passed on.
 	Known Verdict = iota
-	// New facts are to be passed on to all links.
-	New
+	// Added facts are to be passed on to all links.
+	Added
 	// Full means that the store holds the largest number of such facts.
 	Full
 	// NotFact is a message of another type.
@@ -86,7 +86,7 @@
 		return Full
 	}
 	s.stops[key] = f
-	return New
+	return Added
 }
 
 func (s *Store) addLeaving(f wire.LeavingFact) Verdict {
@@ -98,7 +98,7 @@
 		return Full
 	}
 	s.leaving[f.DataCentre] = f
-	return New
+	return Added
 }
 
 // addPoison counts the life of a fact from its reception, since the clocks of hosts differ. Entries that send facts to
@@ -114,7 +114,7 @@
 		s.dropOldestPoison()
 	}
 	s.poisons[key] = poison{fact: f, received: now}
-	return New
+	return Added
 }
 
 func (s *Store) dropOldestPoison() {
--- a/internal/facts/store_test.go
+++ b/internal/facts/store_test.go
@@ -30,7 +30,7 @@
 	s := New(DefaultConfig())
 	s.SetVersion(7)
 	require.Equal(t, Known, s.Add(start, leavingFact("east-1", 6)))
-	require.Equal(t, New, s.Add(start, leavingFact("east-1", 7)))
+	require.Equal(t, Added, s.Add(start, leavingFact("east-1", 7)))
 	require.Equal(t, Known, s.Add(start, leavingFact("east-1", 7)))
 	s.SetVersion(7)
 	require.Len(t, s.Leaving(), 1)
@@ -43,20 +43,20 @@
 // being revived by an entry that has the older configuration.
 func TestStopFactIsLiftedWithItsMove(t *testing.T) {
 	s := New(DefaultConfig())
-	require.Equal(t, New, s.Add(start, stopFact("m1")))
+	require.Equal(t, Added, s.Add(start, stopFact("m1")))
 	s.SetMoves(map[[2]string]bool{{"s", "m1"}: true})
 	require.Len(t, s.Stops(), 1)
 	s.SetMoves(nil)
 	require.Empty(t, s.Stops())
 	require.Equal(t, Known, s.Add(start, stopFact("m1")))
 	s.SetMoves(map[[2]string]bool{{"s", "m1"}: true})
-	require.Equal(t, New, s.Add(start, stopFact("m1")))
+	require.Equal(t, Added, s.Add(start, stopFact("m1")))
 }
 
 // Guards against a poison fact that two entries keep alive by sending it to each other's new links.
 func TestPoisonFactExpires(t *testing.T) {
 	a, b := New(DefaultConfig()), New(DefaultConfig())
-	require.Equal(t, New, a.Add(start, poisonFact("f", 5)))
+	require.Equal(t, Added, a.Add(start, poisonFact("f", 5)))
 	for i := range 300 {
 		now := start.Add(time.Duration(i) * time.Second)
 		for _, e := range a.Messages(now) {
@@ -78,7 +78,7 @@
 	s := New(cfg)
 	for i := range 10 {
 		now := start.Add(time.Duration(i) * time.Millisecond)
-		require.Equal(t, New, s.Add(now, poisonFact(fmt.Sprint(i), i)))
+		require.Equal(t, Added, s.Add(now, poisonFact(fmt.Sprint(i), i)))
 		s.Add(now, stopFact(fmt.Sprint(i)))
 		s.Add(now, leavingFact(fmt.Sprint(i), 1))
 	}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -25,8 +25,8 @@
 	self       Member
 	peers      map[string]*peer // by incarnation, own data centre
 	remote     map[string]*remoteCentre
-	roster     map[string]Host // by name, all data centres
-	voters     []electorate // rosters of the own data centre that confirm a view, the current one last
+	roster     map[string]Host      // by name, all data centres
+	voters     []electorate         // rosters of the own data centre that confirm a view, the current one last
 	unreached  map[string]time.Time // host name -> time until which it is passed over
 	retired    map[string]time.Time // incarnations that left, until they are forgotten
 	lastTick   time.Time
