--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -89,7 +89,7 @@
 func (m *Mesh) keep(ctx context.Context, t *target) {
 	failures := 0
 	for ctx.Err() == nil {
-		if m.linkedTo(t.Host) {
+		if m.linkedTo(t.Target) {
 			failures = 0
 			wait(ctx, t.linked, m.s.MaxBackoff)
 			continue
@@ -103,7 +103,7 @@
 			failures = 0
 		}
 		failures++
-		if failures == unreachableAfter && !m.linkedTo(t.Host) {
+		if failures == unreachableAfter && !m.linkedTo(t.Target) {
 			m.s.Handler.Unreachable(t.Host)
 		}
 		wait(ctx, t.linked, m.backoff(failures))
@@ -237,11 +237,12 @@
 	}
 }
 
-func (m *Mesh) linkedTo(host string) bool {
+// linkedTo also compares addresses: peers from settings are known by address only.
+func (m *Mesh) linkedTo(t Target) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, l := range m.links {
-		if l.peer.Host == host {
+		if l.peer.Host == t.Host || l.peer.PeerAddress == t.Address {
 			return true
 		}
 	}
--- a/internal/peer/mesh_test.go
+++ b/internal/peer/mesh_test.go
@@ -99,9 +99,8 @@
 		a := NewMesh(Settings{Self: func() wire.Member { return member(1) }, Transport: dials, Handler: r})
 		wants(a, 2)
 		time.Sleep(time.Minute)
-		synctest.Wait()
-		require.InDelta(t, 16, dials.count, 8, "100 ms to 5 s with jitter")
-		require.Equal(t, 1, r.unreachable)
+		require.InDelta(t, 16, dials.dials(), 8, "100 ms to 5 s with jitter")
+		r.locked(func() { require.Equal(t, 1, r.unreachable) })
 		b, _ := memoryMesh(n, 2)
 		time.Sleep(6 * time.Second)
 		require.Equal(t, 1, a.Stats().Links)
@@ -119,6 +118,12 @@
 	count int
 }
 
+func (c *countingTransport) dials() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.count
+}
+
 func (c *countingTransport) Dial(ctx context.Context, address string) (Conn, error) {
 	c.mu.Lock()
 	c.count++
--- a/internal/peer/websocket.go
+++ b/internal/peer/websocket.go
@@ -39,7 +39,7 @@
 		transport.TLSClientConfig = w.Credentials.Client()
 	}
 	var state *tls.ConnectionState
-	conn, response, err := websocket.Dial(ctx, url, &websocket.DialOptions{
+	conn, response, err := websocket.Dial(ctx, url, &websocket.DialOptions{ //nolint:bodyclose // Dial closes the body
 		HTTPClient: &http.Client{Transport: transport, CheckRedirect: refuseRedirect},
 	})
 	if response != nil {
