--- a/internal/cluster/node.go
+++ b/internal/cluster/node.go
@@ -56,8 +56,9 @@
 	view     atomic.Pointer[View]
 	hello    atomic.Pointer[wire.Member]
 
-	mu   sync.Mutex
-	core *Core
+	mu         sync.Mutex
+	core       *Core
+	generation uint64 // of the members in the last view
 }
 
 // NewIncarnation returns a random incarnation.
@@ -149,14 +150,24 @@
 	self := table.Self()
 	hello := self.Wire()
 	n.hello.Store(&hello)
-	members := table.Members()
-	owners := membership.NewOwners(members, n.settings.Membership.Distance)
+	members, owners := n.members()
 	n.view.Store(&View{
 		Self: self, Members: members, Owners: owners, Hash: table.ViewHash(), ConfirmedUntil: table.ConfirmedUntil(now),
 		LowestVersion: table.LowestVersion(), Stops: n.core.Facts().Stops(), Leaving: n.core.Facts().Leaving(),
 	})
 }
 
+// members returns the members and owner function, those of the last view when nothing changed.
+func (n *Node) members() ([]membership.Member, *membership.Owners) {
+	generation := n.core.Table().Generation()
+	if last := n.view.Load(); last != nil && n.generation == generation {
+		return last.Members, last.Owners
+	}
+	n.generation = generation
+	members := n.core.Table().Members()
+	return members, membership.NewOwners(members, n.settings.Membership.Distance)
+}
+
 // SetRoster sets the entry hosts of the platform's list.
 func (n *Node) SetRoster(hosts []membership.Host) {
 	n.do(func(now time.Time) { n.core.Table().SetRoster(now, hosts) })
--- a/internal/membership/owner_test.go
+++ b/internal/membership/owner_test.go
@@ -99,7 +99,7 @@
 	require.Len(t, r.self.Members(), 4)
 	hash := r.self.ViewHash()
 	r.far = r.far[:2]
-	r.run(12*time.Second, true)
+	r.run(4*time.Second, true)
 	require.Len(t, r.self.Members(), 3, "a dead member of the other data centre vanishes")
 	r.run(5*time.Minute, false)
 	require.Len(t, r.self.Members(), 1)
--- a/internal/membership/remote.go
+++ b/internal/membership/remote.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"slices"
 	"time"
 
 	"boragehinge.example/boragehinge/internal/wire"
@@ -17,6 +18,7 @@
 type remoteCentre struct {
 	sources map[string]*source // by incarnation of the sender
 	lists   map[int][]Member   // member lists by their hash
+	merged  []Member           // live members, the union of the lists in use
 }
 
 type source struct {
@@ -66,12 +68,12 @@
 	if d.LowestVersion != nil {
 		s.lowestVersion = *d.LowestVersion
 	}
-	before := c.members()
-	s.hash = *d.MembersHash
-	c.learn(d)
-	c.useKnownLists()
-	t.reportRemote(before, c.members())
-	return c.lists[s.hash] == nil
+	if s.listed != *d.MembersHash || s.hash != s.listed {
+		s.hash = *d.MembersHash
+		c.learn(d)
+		t.merge(c)
+	}
+	return s.listed != s.hash
 }
 
 func (t *Table) centre(name string) *remoteCentre {
@@ -115,9 +117,9 @@
 	}
 }
 
-// members returns the union of the lists that the sources name. A member vanishes when the last source that lists it
+// union returns the members of the lists that the sources name. A member vanishes when the last source that lists it
 // drops it or falls silent. When hosts appear twice, the incarnation named by more sources is taken.
-func (c *remoteCentre) members() []Member {
+func (c *remoteCentre) union() []Member {
 	votes := map[string]int{}
 	byID := map[string]Member{}
 	for _, s := range c.sources {
@@ -142,30 +144,57 @@
 	return out
 }
 
-// expireRemote drops sources without a digest for Config.DigestDead. A data centre without sources vanishes as a whole.
+// stale reports whether a source counts no longer: after Config.DigestDead, or after Config.DigestSuspect when a source
+// that was heard since then doesn't list it any more.
+func (t *Table) stale(c *remoteCentre, id string, s *source) bool {
+	silent := t.ran - s.heard
+	if silent >= t.cfg.DigestDead {
+		return true
+	}
+	return silent >= t.cfg.DigestSuspect && c.buriedSince(id, s.heard)
+}
+
+func (c *remoteCentre) buriedSince(id string, heard time.Duration) bool {
+	for _, s := range c.sources {
+		members := c.lists[s.listed]
+		lists := slices.ContainsFunc(members, func(m Member) bool { return m.Incarnation == id })
+		if s.heard > heard && len(members) > 0 && !lists {
+			return true
+		}
+	}
+	return false
+}
+
+// expireRemote drops sources that count no longer. A data centre without sources vanishes as a whole.
 func (t *Table) expireRemote() {
 	for name, c := range t.remote {
 		var stale []string
 		for id, s := range c.sources {
-			if t.ran-s.heard >= t.cfg.DigestDead {
+			if t.stale(c, id, s) {
 				stale = append(stale, id)
 			}
 		}
 		if len(stale) == 0 {
 			continue
 		}
-		before := c.members()
 		for _, id := range stale {
 			delete(c.sources, id)
 		}
-		c.useKnownLists()
-		t.reportRemote(before, c.members())
+		t.merge(c)
 		if len(c.sources) == 0 {
 			delete(t.remote, name)
 		}
 	}
 }
 
+func (t *Table) merge(c *remoteCentre) {
+	c.useKnownLists()
+	before := c.merged
+	c.merged = c.union()
+	t.generation++
+	t.reportRemote(before, c.merged)
+}
+
 func (t *Table) reportRemote(before, after []Member) {
 	old := map[string]bool{}
 	for _, m := range before {
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -38,6 +38,8 @@
 	steadyFrom time.Time // end of the transition
 	inForce    int       // hash reported; 0 in transition
 	pending    []Change
+	changed    bool   // the own data centre changed since the view was hashed
+	generation uint64 // rises with each change that Members shows
 }
 
 // electorate is the set of entry hosts of the own data centre on one roster.
@@ -81,12 +83,16 @@
 
 // SetVersion sets the configuration version that the entry has in force. It never falls.
 func (t *Table) SetVersion(version int) {
-	t.self.Version = max(t.self.Version, version)
+	if version > t.self.Version {
+		t.self.Version = version
+		t.generation++
+	}
 }
 
 // SetLeaving declares that the entry leaves; it owns no pools from now on.
 func (t *Table) SetLeaving(now time.Time) {
 	t.self.Leaving = true
+	t.changed = true
 	t.refreshView(now)
 }
 
@@ -151,14 +157,17 @@
 	if hb.Seq <= p.highest {
 		return
 	}
-	wasLeaving := p.member.Leaving
+	before := p.member
 	from.Version = hb.Version
 	from.Leaving = hb.Leaving != nil && *hb.Leaving
+	if p.live && before != from {
+		t.changed = true
+	}
 	p.member = from
 	p.highest = hb.Seq
 	p.hash = hb.ViewHash
 	p.echoedAt = t.echoTime(hb)
-	t.hear(p, wasLeaving)
+	t.hear(p, before.Leaving)
 	t.refreshView(now)
 }
 
@@ -179,6 +188,7 @@
 		return
 	}
 	p.live = true
+	t.changed = true
 	p.holdUntil = 0
 	t.pending = append(t.pending, Change{Kind: Joined, Member: p.member})
 }
@@ -214,6 +224,7 @@
 	delete(t.peers, incarnation)
 	t.retired[incarnation] = now.Add(t.cfg.FlapWindow)
 	if p.live {
+		t.changed = true
 		t.pending = append(t.pending, Change{Kind: Left, Member: p.member})
 	}
 }
@@ -264,6 +275,7 @@
 			p.deaths = 0
 		}
 		p.live = false
+		t.changed = true
 		p.deaths++
 		p.diedAt = now
 		t.pending = append(t.pending, Change{Kind: Died, Member: p.member})
--- a/internal/membership/types.go
+++ b/internal/membership/types.go
@@ -59,6 +59,8 @@
 	RosterHold time.Duration
 	// DigestDead is the silence after which a digest counts no longer.
 	DigestDead time.Duration
+	// DigestSuspect is the silence after which a source counts no longer if another one has dropped it.
+	DigestSuspect time.Duration
 	// FlapWindow is the time in which a second death of the same incarnation delays its return.
 	FlapWindow time.Duration
 	// MaxFlapHold is the longest delay of a return.
@@ -83,6 +85,7 @@
 		PauseGap:           500 * time.Millisecond,
 		RosterHold:         30 * time.Second,
 		DigestDead:         8 * time.Second,
+		DigestSuspect:      2500 * time.Millisecond,
 		FlapWindow:         time.Minute,
 		MaxFlapHold:        30 * time.Second,
 		LinksPerDataCentre: 2,
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -33,6 +33,11 @@
 
 // refreshView restarts the transition when the view differs from the last one.
 func (t *Table) refreshView(now time.Time) {
+	if !t.changed {
+		return
+	}
+	t.changed = false
+	t.generation++
 	hash := t.hashView()
 	if hash == t.view {
 		return
@@ -46,6 +51,9 @@
 	t.steadyFrom = now.Add(t.cfg.ViewTransition)
 }
 
+// Generation rises whenever the result of Members changes.
+func (t *Table) Generation() uint64 { return t.generation }
+
 // ViewHash returns the hash that heartbeats report; 0 while the view is in transition.
 func (t *Table) ViewHash() int { return t.inForce }
 
@@ -99,7 +107,7 @@
 func (t *Table) Members() []Member {
 	members := t.ownMembers()
 	for _, c := range t.remote {
-		members = append(members, c.members()...)
+		members = append(members, c.merged...)
 	}
 	sort.Slice(members, func(i, j int) bool {
 		if members[i].DataCentre != members[j].DataCentre {
--- a/internal/peer/memory.go
+++ b/internal/peer/memory.go
@@ -13,9 +13,10 @@
 
 // MemoryNetwork connects meshes of one process, for tests and measurements. Its paths can be cut in one direction.
 type MemoryNetwork struct {
-	mu        sync.Mutex
+	mu        sync.RWMutex
 	listeners map[string]func(Conn) error
 	cut       map[[2]string]bool
+	cutWhere  func(from, to string) bool
 }
 
 // NewMemoryNetwork returns a network without listeners.
@@ -43,10 +44,19 @@
 	n.cut[[2]string{from, to}] = cut
 }
 
-func (n *MemoryNetwork) isCut(from, to string) bool {
+// CutWhere drops, in addition to the paths of Cut, those for which cut returns true; nil ends that. The function is
+// called concurrently.
+func (n *MemoryNetwork) CutWhere(cut func(from, to string) bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.cut[[2]string{from, to}]
+	n.cutWhere = cut
+}
+
+func (n *MemoryNetwork) isCut(from, to string) bool {
+	n.mu.RLock()
+	cut, where := n.cut[[2]string{from, to}], n.cutWhere
+	n.mu.RUnlock()
+	return cut || where != nil && where(from, to)
 }
 
 // Transport returns the transport of the mesh that listens on an address.
@@ -62,11 +72,10 @@
 // Dial implements Transport.
 func (t memoryTransport) Dial(_ context.Context, address string) (Conn, error) {
 	n := t.network
-	n.mu.Lock()
+	n.mu.RLock()
 	accept := n.listeners[address]
-	cut := n.cut[[2]string{t.address, address}]
-	n.mu.Unlock()
-	if accept == nil || cut {
+	n.mu.RUnlock()
+	if accept == nil || n.isCut(t.address, address) {
 		return nil, fmt.Errorf("connect to %s: refused", address)
 	}
 	done := make(chan struct{})
