--- a/internal/peer/credentials.go
+++ b/internal/peer/credentials.go
@@ -21,13 +21,21 @@
 // during a rotation.
 type PEM struct {
 	// Authorities are the certificates of the authorities that peers are trusted by.
-	Authorities string
+	Authorities string `env:"BORAGEHINGE_PEER_AUTHORITIES"`
 	// Certificates are the own certificates, the preferred one first. Further certificates of a chain follow their leaf.
-	Certificates string
+	Certificates string `env:"BORAGEHINGE_PEER_CERTIFICATES"`
 	// Keys are the private keys of the leaf certificates, in any order.
-	Keys string
+	Keys string `env:"BORAGEHINGE_PEER_KEYS"`
 }
 
+// String keeps the keys out of logs.
+func (p PEM) String() string {
+	return fmt.Sprintf("authorities=%d bytes certificates=%d bytes keys=redacted", len(p.Authorities), len(p.Certificates))
+}
+
+// GoString keeps the keys out of logs that use %#v.
+func (p PEM) GoString() string { return p.String() }
+
 // Credentials authenticate an entry to its peers. Reload replaces them for later connections; established links stay.
 type Credentials struct {
 	current atomic.Pointer[credentialSet]
