--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -11,7 +11,7 @@
 	"boragehinge.example/boragehinge/internal/wire"
 )
 
-// unreachableAfter is the number of failed attempts in a row after which Handler.Unreachable is called.
+// unreachableAfter is the number of failed attempts in a row after which Handler.Unreachable is called, and called again.
 const unreachableAfter = 3
 
 const forever = 1<<63 - 1
@@ -44,8 +44,8 @@
 	return m
 }
 
-// Want sets the hosts to which the mesh keeps links. Links to other hosts stay until their peer ends them: they may be
-// wanted by the peer.
+// Want sets the hosts to which the mesh keeps links. Links to other hosts that this mesh dialled end, so that links don't
+// pile up as the choice changes; a peer that wants such a link dials it again. Links that peers dialled stay.
 func (m *Mesh) Want(targets []Target) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -70,6 +70,21 @@
 			delete(m.targets, host)
 		}
 	}
+	m.endUnwanted(targets)
+}
+
+func (m *Mesh) endUnwanted(targets []Target) {
+	self := m.s.Self().Incarnation
+	hosts, addresses := map[string]bool{}, map[string]bool{}
+	for _, t := range targets {
+		hosts[t.Host] = true
+		addresses[t.Address] = true
+	}
+	for _, l := range m.links {
+		if l.initiator == self && !hosts[l.peer.Host] && !addresses[l.peer.PeerAddress] {
+			l.cancel(ErrUnwanted)
+		}
+	}
 }
 
 func (m *Mesh) start(t Target) {
@@ -103,7 +118,7 @@
 			failures = 0
 		}
 		failures++
-		if failures == unreachableAfter && !m.linkedTo(t.Target) {
+		if failures%unreachableAfter == 0 && !m.linkedTo(t.Target) {
 			m.s.Handler.Unreachable(t.Host)
 		}
 		wait(ctx, t.linked, m.backoff(failures))
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -15,6 +15,7 @@
 	ErrDuplicate     = errors.New("another link to the same peer exists")
 	ErrUnknownSender = errors.New("unknown sender")
 	ErrProtocol      = errors.New("peer speaks another protocol version")
+	ErrUnwanted      = errors.New("link no longer wanted")
 	ErrClosed        = errors.New("closed")
 )
 
@@ -45,7 +46,7 @@
 	Received(peer wire.Member, e *wire.Envelope)
 	// Unlinked is called when the last link to a peer is gone.
 	Unlinked(peer wire.Member)
-	// Unreachable is called when several attempts in a row to link to a wanted host failed.
+	// Unreachable is called each time that several attempts in a row to link to a wanted host failed.
 	Unreachable(host string)
 }
 
