--- a/internal/membership/owner_test.go
+++ b/internal/membership/owner_test.go
@@ -120,6 +120,20 @@
 	}
 }
 
+// Guards against a data centre that is stuck with old lists after its sources named many different ones at its start.
+func TestManyListsAtStart(t *testing.T) {
+	r := newRegion()
+	r.far = nil
+	for i := range 20 {
+		m := Member{Incarnation: fmt.Sprintf("%016x", i+1), Host: fmt.Sprint("w", i), DataCentre: "west-1"}
+		far := New(m, DefaultConfig(), r.now)
+		r.far = append(r.far, far)
+		r.self.ObserveDigest(r.now, m, far.DigestWithMembers())
+	}
+	r.run(5*time.Second, true)
+	require.Len(t, r.self.Members(), 21)
+}
+
 // Guards against a link set that changes with every member, and against a dead host that is asked forever.
 func TestWantedHosts(t *testing.T) {
 	cfg := DefaultConfig()
--- a/internal/membership/remote.go
+++ b/internal/membership/remote.go
@@ -10,8 +10,7 @@
 // Bounds of what digests can make a table keep.
 const (
 	maxRemoteCentres = 64
-	maxSources       = 256
-	maxLists         = 8
+	maxSources       = 64
 )
 
 // remoteCentre holds what the members of another data centre say about it.
@@ -85,9 +84,10 @@
 	return c
 }
 
-// learn keeps the member list of a digest when its hash is right.
+// learn keeps the member list of a digest when its hash is right. useKnownLists bounds the lists to two per source; a
+// fixed bound below that would refuse the newest list for ever once older ones fill it.
 func (c *remoteCentre) learn(d wire.Digest) {
-	if len(d.Members) == 0 || len(c.lists) >= maxLists {
+	if len(d.Members) == 0 {
 		return
 	}
 	members := make([]Member, 0, len(d.Members))
--- a/internal/membership/table_test.go
+++ b/internal/membership/table_test.go
@@ -105,7 +105,9 @@
 	s.run(9900 * time.Millisecond)
 	require.Equal(t, 4, s.count(Died), "the others bury it")
 	s.changes = nil
-	s.nodes[0].table.Tick(s.now.Add(time.Second))
+	for _, c := range s.nodes[0].table.Tick(s.now.Add(time.Second)) {
+		require.Equal(t, Paused, c.Kind, "the first tick comes before the heartbeats of the meantime are read")
+	}
 	require.Zero(t, s.nodes[0].table.ViewHash())
 	require.Zero(t, s.nodes[0].table.ConfirmedUntil(s.now.Add(time.Second)))
 	s.run(6 * time.Second)
--- a/internal/peer/mesh_test.go
+++ b/internal/peer/mesh_test.go
@@ -79,6 +79,8 @@
 		time.Sleep(5 * time.Second)
 		require.Equal(t, 1, a.Stats().Links)
 		require.Equal(t, 1, b.Stats().Links)
+		ra.locked(func() { require.Zero(t, ra.unlinked) })
+		rb.locked(func() { require.Zero(t, rb.unlinked) })
 		require.NoError(t, a.Send(member(2).Incarnation, goodbye("a")))
 		require.NoError(t, b.Send(member(1).Incarnation, goodbye("b")))
 		synctest.Wait()
