Keep a replaced link in use when its predecessor is reported late

The mesh was asked before the lock was taken, so a link could be registered in between and then be forgotten: its peer got no heartbeats until the link timed out.

--- a/internal/cluster/node.go
+++ b/internal/cluster/node.go
@@ -217,14 +217,14 @@
 	}
 }
 
-// Unlinked implements peer.Handler. A link that was replaced meanwhile stays in use.
+// Unlinked implements peer.Handler. The mesh is asked under the lock: a link that replaces the lost one is either
+// registered by now, or calls Linked later. Otherwise a peer with a link could get no heartbeats.
 func (n *Node) Unlinked(p wire.Member) {
-	for _, linked := range n.mesh.Peers() {
-		if linked.Incarnation == p.Incarnation {
-			return
+	n.do(func(time.Time) {
+		if !n.mesh.HasLink(p.Incarnation) {
+			n.core.Unlinked(p.Incarnation)
 		}
-	}
-	n.do(func(time.Time) { n.core.Unlinked(p.Incarnation) })
+	})
 }
 
 // Unreachable implements peer.Handler.
--- a/internal/cluster/node_test.go
+++ b/internal/cluster/node_test.go
@@ -247,3 +247,14 @@
 		})
 	})
 }
+
+// Guards against the late report of a replaced link that takes the current one out of use: its peer would get no
+// heartbeats. With 600 nodes, the race delayed the first complete views by 10 s.
+func TestLateUnlinkedKeepsCurrentLink(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		w.forget()
+		w.nodes[0].Unlinked(w.nodes[1].View().Self.Wire())
+		time.Sleep(5 * time.Second)
+		require.Zero(t, w.count(membership.Died))
+	})
+}
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -293,6 +293,13 @@
 	return peers
 }
 
+// HasLink reports whether a link to an incarnation exists.
+func (m *Mesh) HasLink(incarnation string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.links[incarnation] != nil
+}
+
 // Stats returns the counters.
 func (m *Mesh) Stats() Stats {
 	s := m.count.stats()
