--- a/internal/clusterbench/cluster.go
+++ b/internal/clusterbench/cluster.go
@@ -20,6 +20,10 @@
 // dataCentres is the number of data centres of the design size, three in each of three regions.
 const dataCentres = 9
 
+// relinkTime is the time for links to be chosen and dialled anew after paths were cut or restored: idle timeout and
+// backoff.
+const relinkTime = 15 * time.Second
+
 // pollInterval bounds the resolution of the measured delays.
 const pollInterval = 20 * time.Millisecond
 
@@ -170,7 +174,7 @@
 		if share == 0 {
 			break
 		}
-		time.Sleep(15 * time.Second)
+		time.Sleep(relinkTime)
 	}
 	return nil
 }
@@ -190,7 +194,7 @@
 		_, err := fmt.Fprintf(w, "nodes=%d members did not return after the cuts\n", len(c.nodes))
 		return err
 	}
-	time.Sleep(2 * time.Second)
+	time.Sleep(relinkTime)
 	dead := c.nodes[0].View().Self
 	c.network.CutWhere(func(from, to string) bool { return from == dead.PeerAddress || to == dead.PeerAddress })
 	d, ok := c.await(func() bool { return c.forgotten(dead.Incarnation) })
