--- /dev/null
+++ b/internal/dispatch/probes.go
@@ -0,0 +1,40 @@
+package dispatch
+
+import "time"
+
+// probeInterval is the shortest time between two probes of an upstream, and the time without calls before one is due.
+const probeInterval = time.Second
+
+// probeDue reports whether the upstream is to be probed now, and counts the probe. Only idle upstreams are probed, so
+// that a cold one never runs a probe beside its calls.
+func (p *Pool) probeDue(now time.Time, u *upstream) bool {
+	if p.spec.Closed || u.spec.Leaving || u.inFlight > 0 || !now.Before(p.confirmedUntil) {
+		return false
+	}
+	if now.Sub(u.lastCall) < probeInterval || now.Sub(u.lastProbe) < probeInterval {
+		return false
+	}
+	// The spread keeps an owner of many idle upstreams from probing all of them at the same moment.
+	u.lastProbe = now.Add(time.Duration(p.rng.Int63n(int64(probeInterval / 8))))
+	return true
+}
+
+// ProbeResult records the result of a probe that Tick asked for.
+func (p *Pool) ProbeResult(now time.Time, upstream string, ok bool, latency time.Duration, rep *LoadReport) Events {
+	p.begin()
+	u := p.byName[upstream]
+	if u == nil {
+		return p.ev
+	}
+	u.probeFailed = !ok
+	if ok {
+		p.observeReport(now, u, rep, 0)
+	} else if !u.ejected() {
+		u.failsInRow++
+		p.becomeCold(u, "probe failed")
+		p.judgeFailing(now, u)
+	}
+	p.relink(u)
+	p.dispatchQueued(now)
+	return p.ev
+}
--- /dev/null
+++ b/internal/dispatch/summary.go
@@ -0,0 +1,80 @@
+package dispatch
+
+import "time"
+
+// Summary returns the figures for the choice among pools. It allocates; call it for digests and piggybacked responses
+// at a bounded rate.
+func (p *Pool) Summary(now time.Time) Summary {
+	s := Summary{
+		Closed:      p.spec.Closed,
+		Slots:       p.capacity(now, ""),
+		InFlight:    p.inFlight,
+		Queued:      p.queued,
+		ServiceTime: time.Duration(p.service.mean * float64(time.Second)),
+	}
+	for i := range p.classes {
+		k := &p.classes[i]
+		s.Waits = append(s.Waits, WaitSummary{
+			Class:    k.spec.Name,
+			Priority: k.spec.Priority,
+			Queued:   k.queued,
+			Wait:     p.expectedWait(now, i, ""),
+		})
+	}
+	for _, g := range p.groups {
+		s.Versions = append(s.Versions, VersionSummary{
+			Version:  g.version,
+			Slots:    g.capacity(now.Before(p.confirmedUntil)),
+			InFlight: g.running,
+		})
+	}
+	return s
+}
+
+// Upstreams returns the status of each upstream, ordered by name.
+func (p *Pool) Upstreams(now time.Time) []UpstreamStatus {
+	out := make([]UpstreamStatus, 0, len(p.upstreams))
+	for _, u := range p.upstreams {
+		out = append(out, p.status(u))
+	}
+	return out
+}
+
+func (p *Pool) status(u *upstream) UpstreamStatus {
+	s := UpstreamStatus{
+		Name:          u.spec.Name,
+		Address:       u.spec.Address,
+		Version:       u.spec.Version,
+		Health:        Healthy,
+		Slots:         u.spec.Slots,
+		Allowance:     u.counted,
+		InFlight:      u.inFlight,
+		EjectedUntil:  u.ejectedUntil,
+		Ejections:     u.ejections,
+		Latency:       u.meanLatency(),
+		FailureRate:   u.failRate,
+		ReportTrusted: !u.report.distrusted,
+		Grants:        u.grants,
+	}
+	for name, i := range p.routes {
+		if u.slowRoutes&(1<<i) != 0 {
+			s.SlowRoutes = append(s.SlowRoutes, name)
+		}
+	}
+	switch {
+	case u.leaving():
+		s.Health, s.Reason = Leaving, "by configuration"
+		if !u.spec.Leaving {
+			s.Reason = "by its own report"
+		}
+	case u.ejected():
+		s.Health, s.Reason = Ejected, u.ejectReason
+	case u.cold:
+		s.Health, s.Reason = Cold, u.coldReason
+	case u.avoid:
+		s.Reason = "slower than its peers, used last"
+	case u.limited():
+		s.Reason = "on trial after " + u.ejectReason
+	}
+	return s
+}
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -102,13 +102,14 @@
 
 // CustomerSpec describes one customer's weight inside each class.
 type CustomerSpec struct {
-	Name   string
-	Weight float64 // zero means 1
+	Name          string
+	Weight        float64 // zero means 1
+	PriorityBoost int     // classes that the customer's calls move up in the queue
 }
 
 // LimitSpec is a token bucket. Rate and Burst are this pool's share of a global limit.
 type LimitSpec struct {
-	Customer string  // empty: any customer, all together
+	Customer string  // empty: all customers together; "*": each customer separately
 	Class    string  // empty: any class
 	Rate     float64 // calls per second
 	Burst    float64 // calls; zero means one second of Rate, at least 1
--- /dev/null
+++ b/internal/dispatch/upstream.go
@@ -0,0 +1,264 @@
+package dispatch
+
+import (
+	"math/bits"
+	"time"
+)
+
+// maxRoutes bounds the routes with statistics of their own; later ones share the last index.
+const maxRoutes = 64
+
+// upstream is the state of one upstream. Its slots are counted exactly: only this pool sends to it.
+type upstream struct {
+	spec  UpstreamSpec
+	group *group
+
+	inFlight       int
+	oldest, newest *call // running calls in the order of their grants
+	grants         uint64
+	lastCall       time.Time
+	lastProbe      time.Time
+	probeFailed    bool
+
+	cold         bool
+	coldReason   string
+	allowance    int
+	coldProgress int // successes at normal latency since the last step
+
+	draining     bool // by its own report
+	gone         bool // no longer in the Spec
+	ejectedUntil time.Time
+	ejectReason  string
+	ejections    int
+	lastEjected  time.Time
+	ratio        float64 // moving mean of latency relative to the peers' median
+	avoid        bool    // used last: slower than its peers, or ejection would exceed half of the pool
+	slowRoutes   uint64
+	slowUntil    time.Time
+
+	routes      [maxRoutes]routeStat
+	failRate    float64
+	outcomes    int
+	failsInRow  int
+	notRunInRow int
+
+	report reportState
+
+	// Membership in one of the group's free lists.
+	list       *freeList
+	level      int
+	prev, next *upstream
+	counted    int  // slots counted in the group's total
+	countedAs  kind // list that counted belongs to
+}
+
+// kind is the order in which free lists are tried.
+type kind uint8
+
+const (
+	kindWarm kind = iota
+	kindCold
+	kindAvoid
+	kinds
+)
+
+func (u *upstream) kind() kind {
+	switch {
+	case u.cold:
+		return kindCold
+	case u.avoid:
+		return kindAvoid
+	}
+	return kindWarm
+}
+
+func (u *upstream) ejected() bool { return !u.ejectedUntil.IsZero() }
+
+func (u *upstream) leaving() bool { return u.spec.Leaving || u.draining }
+
+// limit is the number of calls that the upstream may run now.
+func (u *upstream) limit() int {
+	if u.ejected() || u.leaving() {
+		return 0
+	}
+	n := min(u.allowance, u.spec.Slots)
+	if u.report.foreign > 0 {
+		n = max(1, n-u.report.foreign)
+	}
+	return n
+}
+
+// group holds the upstreams of one version, which are each other's peers.
+type group struct {
+	version string
+	members []*upstream
+	free    [kinds]freeList
+	slots   [kinds]int
+	running int
+	medians [maxRoutes]float64 // seconds per route; zero while unknown
+	failSum float64            // sum of the members' failure rates
+}
+
+// capacity is the number of usable slots; cold ones count only with a confirmed view.
+func (g *group) capacity(confirmed bool) int {
+	n := g.slots[kindWarm] + g.slots[kindAvoid]
+	if confirmed {
+		n += g.slots[kindCold]
+	}
+	return n
+}
+
+const freeLevels = 64
+
+// freeList orders upstreams with free slots by the used part of their limit, and within a level by the time since
+// which they are there, so that the least loaded one is found without a scan.
+type freeList struct {
+	occupied   uint64
+	head, tail [freeLevels]*upstream
+}
+
+func (l *freeList) add(u *upstream, level int) {
+	u.list, u.level = l, level
+	u.prev, u.next = l.tail[level], nil
+	if u.prev != nil {
+		u.prev.next = u
+	} else {
+		l.head[level] = u
+	}
+	l.tail[level] = u
+	l.occupied |= 1 << level
+}
+
+func (l *freeList) remove(u *upstream) {
+	if u.prev != nil {
+		u.prev.next = u.next
+	} else {
+		l.head[u.level] = u.next
+	}
+	if u.next != nil {
+		u.next.prev = u.prev
+	} else {
+		l.tail[u.level] = u.prev
+	}
+	if l.head[u.level] == nil {
+		l.occupied &^= 1 << u.level
+	}
+	u.list, u.prev, u.next = nil, nil, nil
+}
+
+// first returns the least loaded upstream that the call may use, or nil.
+func (l *freeList) first(c *call) *upstream {
+	for rest := l.occupied; rest != 0; rest &= rest - 1 {
+		for u := l.head[bits.TrailingZeros64(rest)]; u != nil; u = u.next {
+			if c.mayUse(u) {
+				return u
+			}
+		}
+	}
+	return nil
+}
+
+// relink puts the upstream into the free list that fits its state. It is called after every change of that state.
+func (p *Pool) relink(u *upstream) {
+	if u.list != nil {
+		u.list.remove(u)
+	}
+	g := u.group
+	g.slots[u.countedAs] -= u.counted
+	limit := 0
+	if !p.spec.Closed {
+		limit = u.limit()
+	}
+	u.counted, u.countedAs = limit, u.kind()
+	g.slots[u.countedAs] += limit
+	if u.inFlight < limit {
+		g.free[u.countedAs].add(u, u.inFlight*freeLevels/limit)
+	}
+}
+
+// Cold upstreams need calls to warm up; calls of the highest priority use them only when no warm slot is free.
+var (
+	orderUrgent = [kinds]kind{kindWarm, kindCold, kindAvoid}
+	orderOther  = [kinds]kind{kindCold, kindWarm, kindAvoid}
+)
+
+// pick returns the upstream for the call, or nil when no slot is free for it.
+func (p *Pool) pick(now time.Time, c *call) *upstream {
+	order := &orderOther
+	if c.level == 0 {
+		order = &orderUrgent
+	}
+	for _, k := range order {
+		if k == kindCold && !now.Before(p.confirmedUntil) {
+			continue
+		}
+		u := p.pickKind(c, k)
+		if u == nil || k == kindAvoid && !p.worthSlow(u) {
+			continue
+		}
+		return u
+	}
+	return nil
+}
+
+func (p *Pool) pickKind(c *call, k kind) *upstream {
+	var best *upstream
+	for _, g := range p.groups {
+		if g.free[k].occupied == 0 || c.req.Version != "" && c.req.Version != g.version {
+			continue
+		}
+		u := g.free[k].first(c)
+		if u != nil && (best == nil || u.level < best.level) {
+			best = u
+		}
+	}
+	return best
+}
+
+// worthSlow reports whether waiting for a normal slot takes longer than the extra latency of a slow upstream.
+func (p *Pool) worthSlow(u *upstream) bool {
+	normal := u.group.slots[kindWarm]
+	if normal == 0 {
+		return true
+	}
+	wait := float64(p.queued+1) * p.service.mean / float64(normal)
+	return wait > u.extraLatency()
+}
+
+// hold takes a slot of the upstream for the call.
+func (p *Pool) hold(now time.Time, u *upstream, c *call) {
+	c.up, c.granted = u, now
+	c.older, c.newer = u.newest, nil
+	if u.newest != nil {
+		u.newest.newer = c
+	} else {
+		u.oldest = c
+	}
+	u.newest = c
+	u.inFlight++
+	u.group.running++
+	u.grants++
+	u.lastCall = now
+	p.inFlight++
+	p.relink(u)
+}
+
+// release frees the call's slot. The caller relinks the upstream once it has recorded the outcome.
+func (p *Pool) release(now time.Time, c *call) {
+	u := c.up
+	if c.older != nil {
+		c.older.newer = c.newer
+	} else {
+		u.oldest = c.newer
+	}
+	if c.newer != nil {
+		c.newer.older = c.older
+	} else {
+		u.newest = c.older
+	}
+	c.older, c.newer, c.up = nil, nil, nil
+	u.inFlight--
+	u.group.running--
+	u.lastCall = now
+	p.inFlight--
+}
