Average the latency ratio over more calls before an upstream is used last

Cause: with a gain of 0.1, chance alone takes a normal upstream's mean ratio past 1.7 every few seconds in a pool of 25, and such upstreams are used last, so capacity is lost. Change: a gain of 0.03 for that ratio. The simulation also gets uniform service times beside exponential ones, and counts probes only while calls arrive.

--- a/internal/dispatch/outlier.go
+++ b/internal/dispatch/outlier.go
@@ -9,6 +9,9 @@
 const (
 	// sampleGain weighs a new sample in an upstream's latency and failure rate.
 	sampleGain = 0.1
+	// ratioGain weighs a new sample in the ratio that decides which upstreams are used last. With sampleGain, chance
+	// alone takes it past avoidRatio every few seconds in a pool of 25.
+	ratioGain = 0.03
 	// clipRatio bounds a sample relative to the peers' median, so that one extreme call ejects nobody.
 	clipRatio = 8
 	// slowRatio is the mean latency relative to the peers' median at which an upstream is ejected as slow.
@@ -123,7 +126,7 @@
 	if ratio := u.ratioOf(route, seconds); ratio > 0 {
 		ratio = min(ratio, clipRatio)
 		seconds = ratio * u.group.medians[route]
-		u.ratio += sampleGain * (ratio - u.ratio)
+		u.ratio += ratioGain * (ratio - u.ratio)
 	}
 	s.add(seconds)
 	p.judgeSlow(now, u, route)
--- a/internal/dispatch/simulate/engine.go
+++ b/internal/dispatch/simulate/engine.go
@@ -108,7 +108,7 @@
 	id := uint64(0)
 	next = func() {
 		id++
-		e.submit(newJob(rng, id, e.now))
+		e.submit(newJob(rng, id, e.now, e.c.Variable))
 		gap := rng.ExpFloat64() / (perSecond * e.intensity())
 		if e.now < e.c.Duration {
 			e.after(time.Duration(gap*float64(time.Second)), next)
@@ -128,7 +128,9 @@
 	return 0.75
 }
 
-func newJob(rng *rand.Rand, id uint64, now time.Duration) *job {
+// newJob draws a call. Its service time is 2 ms plus an exponential part of 10 ms when variable, else uniform between 8
+// and 16 ms; the mean is 12 ms in both.
+func newJob(rng *rand.Rand, id uint64, now time.Duration, variable bool) *job {
 	j := &job{id: id, arrived: now, entry: rng.Intn(entries), idempotent: rng.Float64() < 0.7}
 	x := rng.Float64()
 	for x >= classInfo[j.class].share && j.class < len(classInfo)-1 {
@@ -141,7 +143,11 @@
 		j.customer = "c" + string(rune('1'+rng.Intn(customers-1)))
 	}
 	j.deadline = now + classInfo[j.class].deadline
-	j.service = minService + time.Duration(rng.ExpFloat64()*float64(meanService-minService))
+	if variable {
+		j.service = minService + time.Duration(rng.ExpFloat64()*float64(meanService-minService))
+	} else {
+		j.service = meanService*2/3 + time.Duration(rng.Float64()*float64(meanService*2/3))
+	}
 	return j
 }
 
--- a/internal/dispatch/simulate/owner.go
+++ b/internal/dispatch/simulate/owner.go
@@ -80,7 +80,9 @@
 
 // probe asks an upstream's health endpoint, which answers well even while the upstream fails its calls.
 func (p *owners) probe(o *owned, u *upstream) {
-	p.e.res.Probes++
+	if p.e.now < p.e.c.Duration {
+		p.e.res.Probes++
+	}
 	p.e.after(2*netDelay, func() {
 		u.seq++
 		rep := &dispatch.LoadReport{InFlight: u.running, Cold: u.cold, Seq: u.seq}
--- a/internal/dispatch/simulate/run.go
+++ b/internal/dispatch/simulate/run.go
@@ -15,6 +15,7 @@
 	Slots     int
 	Load      float64 // offered work relative to the capacity without faults
 	Bursts    bool
+	Variable  bool   // exponential instead of uniform service times
 	Fault     string // one of Faults
 	Seed      int64
 	Duration  time.Duration
@@ -32,6 +33,7 @@
 	Loads    []float64
 	Faults   []string
 	Bursts   []bool
+	Variable []bool
 	Policies []string
 	Seed     int64
 	Duration time.Duration
@@ -50,6 +52,9 @@
 	if len(o.Bursts) == 0 {
 		o.Bursts = []bool{false, true}
 	}
+	if len(o.Variable) == 0 {
+		o.Variable = []bool{true, false}
+	}
 	if len(o.Policies) == 0 {
 		o.Policies = Policies
 	}
@@ -64,11 +69,13 @@
 
 func (o Options) cases() []Case {
 	var out []Case
-	for _, slots := range o.Slots {
-		for _, fault := range o.Faults {
-			for _, bursts := range o.Bursts {
-				for _, load := range o.Loads {
-					out = append(out, Case{25, slots, load, bursts, fault, o.Seed, o.Duration})
+	for _, variable := range o.Variable {
+		for _, slots := range o.Slots {
+			for _, fault := range o.Faults {
+				for _, bursts := range o.Bursts {
+					out = append(out, o.loadCases(Case{
+						Upstreams: 25, Slots: slots, Bursts: bursts, Variable: variable, Fault: fault,
+					})...)
 				}
 			}
 		}
@@ -76,6 +83,16 @@
 	return out
 }
 
+func (o Options) loadCases(c Case) []Case {
+	var out []Case
+	c.Seed, c.Duration = o.Seed, o.Duration
+	for _, load := range o.Loads {
+		c.Load = load
+		out = append(out, c)
+	}
+	return out
+}
+
 // Run measures every selected case under every selected policy and writes one table line for each. The same options
 // give the same output.
 func Run(w io.Writer, o Options) error {
@@ -164,8 +181,8 @@
 
 func writeCase(w io.Writer, c Case, results []*Result) error {
 	var b strings.Builder
-	fmt.Fprintf(&b, "\nslots=%d load=%.0f%% bursts=%v fault=%s seed=%d duration=%v\n",
-		c.Slots, c.Load*100, c.Bursts, c.Fault, c.Seed, c.Duration)
+	fmt.Fprintf(&b, "\nslots=%d load=%.0f%% bursts=%v variable=%v fault=%s seed=%d duration=%v\n",
+		c.Slots, c.Load*100, c.Bursts, c.Variable, c.Fault, c.Seed, c.Duration)
 	fmt.Fprintf(&b, "%-18s %-23s %-23s %-23s %8s %7s %7s %8s %9s %7s %9s\n", "policy", "urgent p50/p99/p99.9 ms",
 		"ordinary", "bulk", "refused", "late", "failed", "wasted s", "goodput/s", "probes", "cold over")
 	for _, r := range results {
