Give unreachable upstreams no calls, past half of the pool too

Cause: when a whole pool is lost, at most half of its upstreams are ejected; the others keep refusing connections at once, so the pool's expected wait stays low and it attracts calls. Change: an upstream that refuses a connection gets no call for 50 ms to 1 s, doubling; this counts as knowledge, not as an ejection. A good probe ends it.

--- a/internal/dispatch/coldstart.go
+++ b/internal/dispatch/coldstart.go
@@ -1,5 +1,7 @@
 package dispatch
 
+import "time"
+
 const (
 	// successesPerStep times the allowance is the number of successes at normal latency before the allowance doubles.
 	successesPerStep = 4
@@ -10,6 +12,9 @@
 	refusalsUntilCold = 2
 	// refusalsUntilEjected is the run of refusals after which an upstream gets no work for a backoff time.
 	refusalsUntilEjected = 6
+	// Bounds of the time without calls after a refused connection.
+	minUnreachable = 50 * time.Millisecond
+	maxUnreachable = time.Second
 )
 
 // becomeCold restarts the upstream's ramp at an allowance of 1.
@@ -57,3 +62,11 @@
 	}
 	return n*2 > len(g.members)
 }
+
+// observeRefusedConnection keeps calls away from an upstream that accepts no connection, for a time that doubles with
+// each refusal in a row. This is no judgement relative to peers and not bounded to half of the pool: a pool that has
+// lost its data centre must show no usable slots, or it attracts calls that it cannot run.
+func (p *Pool) observeRefusedConnection(now time.Time, u *upstream) {
+	u.unreachable = now.Add(min(minUnreachable<<min(u.refusedConns, 10), maxUnreachable))
+	u.refusedConns++
+}
--- a/internal/dispatch/outlier.go
+++ b/internal/dispatch/outlier.go
@@ -55,7 +55,7 @@
 	switch o.Kind {
 	case Success:
 		p.observeService(c, seconds)
-		u.notRunInRow = 0
+		u.notRunInRow, u.refusedConns = 0, 0
 		p.countFailure(u, false)
 		p.observeLatency(now, u, c.route, seconds)
 		if ratio < coldSlowRatio {
@@ -65,9 +65,12 @@
 		}
 	case Failure:
 		p.countFailure(u, true)
-	case Crashed, ConnectFailed:
+	case Crashed:
 		p.countFailure(u, true)
-		p.becomeCold(u, reasonOf(o.Kind))
+		p.becomeCold(u, "crashed")
+	case ConnectFailed:
+		p.becomeCold(u, "connection refused")
+		p.observeRefusedConnection(now, u)
 	case TimedOut:
 		// A short deadline of the caller proves nothing; only a call that ran far longer than usual does.
 		if ratio >= slowRatio {
@@ -86,13 +89,6 @@
 	p.judgeFailing(now, u)
 }
 
-func reasonOf(k OutcomeKind) string {
-	if k == Crashed {
-		return "crashed"
-	}
-	return "connection refused"
-}
-
 func (p *Pool) observeService(c *call, seconds float64) {
 	p.service.add(seconds)
 	p.classes[c.class].service.add(seconds)
@@ -297,6 +293,9 @@
 	if u.ejections > 0 && !u.ejected() && now.Sub(u.lastEjected) > maxEjection+forgiveAfter {
 		u.ejections = 0
 	}
+	if !u.unreachable.IsZero() && !now.Before(u.unreachable) {
+		u.unreachable = time.Time{}
+	}
 	if u.slowRoutes != 0 && !now.Before(u.slowUntil) {
 		for i := range u.routes {
 			if u.slowRoutes&(1<<i) != 0 {
--- a/internal/dispatch/probes.go
+++ b/internal/dispatch/probes.go
@@ -28,11 +28,11 @@
 	}
 	u.probeFailed = !ok
 	if ok {
+		u.unreachable, u.refusedConns = time.Time{}, 0
 		p.observeReport(now, u, rep, 0)
-	} else if !u.ejected() {
-		u.failsInRow++
+	} else {
 		p.becomeCold(u, "probe failed")
-		p.judgeFailing(now, u)
+		p.observeRefusedConnection(now, u)
 	}
 	p.relink(u)
 	p.dispatchQueued(now)
--- a/internal/dispatch/summary.go
+++ b/internal/dispatch/summary.go
@@ -69,6 +69,8 @@
 		}
 	case u.ejected():
 		s.Health, s.Reason = Ejected, u.ejectReason
+	case !u.unreachable.IsZero():
+		s.Health, s.Reason, s.EjectedUntil = Ejected, "unreachable: "+u.coldReason, u.unreachable
 	case u.cold:
 		s.Health, s.Reason = Cold, u.coldReason
 	case u.avoid:
--- a/internal/dispatch/upstream.go
+++ b/internal/dispatch/upstream.go
@@ -30,6 +30,8 @@
 	ejectedUntil time.Time
 	ejectReason  string
 	ejections    int
+	unreachable  time.Time // no calls until then, after refused connections; not counted as ejected
+	refusedConns int       // refused connections in a row
 	lastEjected  time.Time
 	ratio        float64 // moving mean of latency relative to the peers' median
 	avoid        bool    // used last: slower than its peers, or ejection would exceed half of the pool
@@ -78,7 +80,7 @@
 
 // limit is the number of calls that the upstream may run now.
 func (u *upstream) limit() int {
-	if u.ejected() || u.leaving() {
+	if u.ejected() || u.leaving() || !u.unreachable.IsZero() {
 		return 0
 	}
 	n := min(u.allowance, u.spec.Slots)
