Test the pool's mechanisms and invariants; let a refused class recover

Change: the estimate also falls when it makes up over half of the time left. It starts from the pool's mean instead of zero.

--- /dev/null
+++ b/internal/dispatch/coldstart_test.go
@@ -0,0 +1,111 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against full load on an upstream whose cold start shows in its answers.
+func TestColdStartIsRecognised(t *testing.T) {
+	for name, outcomes := range map[string][]Outcome{
+		"crash":              {{Kind: Crashed}},
+		"refused connection": {{Kind: ConnectFailed}},
+		"refusals":           {{Kind: NotRun}, {Kind: NotRun}},
+		"own report":         {{Report: &LoadReport{Cold: true, Seq: 1}}},
+		"restart":            {{Report: &LoadReport{Seq: 1000}}, {Report: &LoadReport{Seq: 1}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, testSpec(1, 6))
+			for _, o := range outcomes {
+				require.Len(t, f.submit(Request{Class: "urgent"}).Grants, 1)
+				f.p.Finish(f.now, f.id, o)
+			}
+			f.advance(time.Second)
+			s := f.status("u000")
+			assert.Equal(t, Cold, s.Health)
+			assert.Equal(t, 1, s.Allowance)
+		})
+	}
+}
+
+// Guards against an upstream in unannounced cold start that shows only in its latency.
+func TestColdStartShowsInLatency(t *testing.T) {
+	f := newFixture(t, testSpec(6, 6))
+	f.play(time.Second, normal)
+	f.play(500*time.Millisecond, only("u002", Success, 50*time.Millisecond))
+	assert.Less(t, f.status("u002").Allowance, 6)
+}
+
+// Guards against a ramp that goes up without successes, past the slots, or that never ends.
+func TestAllowanceRamp(t *testing.T) {
+	spec := testSpec(1, 6)
+	spec.Upstreams[0].Cold = true
+	f := newFixture(t, spec)
+	var steps []int
+	for range 29 {
+		steps = append(steps, f.status("u000").Allowance)
+		f.submit(Request{Class: "urgent"})
+		f.p.Finish(f.now, f.id, Outcome{Latency: time.Millisecond})
+	}
+	assert.Equal(t, []int{1, 1, 1, 1, 2}, steps[:5])
+	assert.Equal(t, []int{2, 4}, steps[11:13])
+	assert.Equal(t, []int{4, 6}, steps[27:29])
+	assert.Equal(t, Healthy, f.status("u000").Health)
+}
+
+// Guards against halving that is missing: a refusal or slow answers of a cold upstream lower its allowance.
+func TestAllowanceHalves(t *testing.T) {
+	spec := testSpec(4, 8)
+	f := newFixture(t, spec)
+	f.play(time.Second, normal)
+	u := f.p.byName["u000"]
+	for name, o := range map[string]Outcome{
+		"refusal": {Kind: NotRun},
+		"slow":    {Kind: Success, Latency: 45 * time.Millisecond},
+	} {
+		u.cold, u.allowance = true, 4
+		f.p.relink(u)
+		ev := f.submit(Request{Class: "ordinary", Route: "r", Exclude: []string{"u001", "u002", "u003"}})
+		require.Equal(t, "u000", ev.Grants[0].Upstream)
+		f.p.Finish(f.now, f.id, o)
+		assert.Equal(t, 2, u.allowance, name)
+	}
+}
+
+// Guards against two owners with different views that both send to a cold upstream.
+func TestColdUpstreamsNeedAConfirmedView(t *testing.T) {
+	spec := testSpec(2, 3)
+	spec.Upstreams[0].Cold = true
+	f := newFixture(t, spec)
+	f.p.SetConfirmed(f.now, f.now)
+	for range 3 {
+		require.Equal(t, "u001", f.submit(Request{Class: "ordinary"}).Grants[0].Upstream)
+	}
+	assert.Empty(t, f.submit(Request{Class: "ordinary"}).Grants)
+	f.submit(Request{Class: "ordinary", Exclude: []string{"u001"}})
+	assert.Equal(t, 1, f.refused[ReasonCold], "a call that only cold upstreams could run is refused early")
+	f.confirm()
+	f.advance(10 * time.Millisecond)
+	assert.Equal(t, 1, f.grants["u000"])
+}
+
+// Guards against the load of many cold upstreams being pushed on the rest: the rest keep to their slots, the cold ones
+// to their allowance, and the excess is refused early.
+func TestManyColdUpstreamsDontPushTheRestOver(t *testing.T) {
+	spec := testSpec(25, 3)
+	for i := range 24 {
+		spec.Upstreams[i].Cold = true
+	}
+	f := newFixture(t, spec)
+	for range 500 {
+		f.submit(Request{Class: "ordinary", Deadline: f.now.Add(50 * time.Millisecond)})
+	}
+	for _, s := range f.p.Upstreams(f.now) {
+		assert.LessOrEqual(t, s.InFlight, s.Allowance)
+	}
+	assert.Equal(t, 24+3, f.p.Summary(f.now).InFlight)
+	assert.Greater(t, f.refused[ReasonOverload], 300)
+}
--- a/internal/dispatch/outlier.go
+++ b/internal/dispatch/outlier.go
@@ -90,8 +90,12 @@
 }
 
 func (p *Pool) observeService(c *call, seconds float64) {
+	e := &p.classes[c.class].service
+	if e.n == 0 {
+		e.mean = p.service.mean
+	}
+	e.add(seconds)
 	p.service.add(seconds)
-	p.classes[c.class].service.add(seconds)
 }
 
 // observeRefusal handles a not-run response.
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -127,11 +127,14 @@
 	}
 	service := p.serviceTime(c.class)
 	left := c.req.Deadline.Sub(now)
-	if service > left {
+	late := service+p.expectedWait(now, c.level, c.req.Version) > left
+	if late && service > left/2 {
 		p.doubtService(c)
-		return ReasonDeadline
 	}
-	if service+p.expectedWait(now, c.level, c.req.Version) > left {
+	switch {
+	case service > left:
+		return ReasonDeadline
+	case late:
 		return ReasonOverload
 	}
 	if p.queued >= maxQueued && !p.displace(now, c.level) {
@@ -140,7 +143,7 @@
 	return ""
 }
 
-// doubtService lowers the class's service time when it alone makes a call miss its deadline. Without this, an estimate
+// doubtService lowers the class's service time when it is the main reason to refuse a call. Without this, an estimate
 // above every deadline would refuse all calls of the class and never be corrected by a measurement.
 func (p *Pool) doubtService(c *call) {
 	e := &p.classes[c.class].service
