--- a/internal/dispatch/simulate/run.go
+++ b/internal/dispatch/simulate/run.go
@@ -44,7 +44,7 @@
 		o.Slots = []int{3, 6}
 	}
 	if len(o.Loads) == 0 {
-		o.Loads = []float64{0.5, 0.7, 0.85, 0.95, 1.2}
+		o.Loads = []float64{0.5, 0.7, 0.85, 0.95, 1, 1.2}
 	}
 	if len(o.Faults) == 0 {
 		o.Faults = Faults
