Let a failed probe alone keep no calls away

Cause: a health endpoint that fails while calls work made idle upstreams unreachable for as long as probes failed, the whole of an idle pool included. Change: a failed probe makes the upstream cold, and extends the time without calls only after a refused connection. TestFailedProbesAloneKeepNoCallsAway fails without the change and passes with it.

--- a/internal/dispatch/health_test.go
+++ b/internal/dispatch/health_test.go
@@ -244,6 +244,19 @@
 	assert.Equal(t, Cold, f.status("u000").Health)
 }
 
+// Guards against a health endpoint that fails while calls work and takes an idle pool out.
+func TestFailedProbesAloneKeepNoCallsAway(t *testing.T) {
+	f := newFixture(t, testSpec(2, 3))
+	for range 5 {
+		for _, name := range append([]string(nil), f.advance(1200*time.Millisecond)...) {
+			f.p.ProbeResult(f.now, name, false, time.Second, nil)
+		}
+	}
+	assert.Equal(t, 2, f.p.Summary(f.now).Slots)
+	f.play(time.Second, normal)
+	assert.Equal(t, 6, f.p.Summary(f.now).Slots)
+}
+
 // Guards against a second probe within a second of an upstream that is removed and added again.
 func TestProbeBudgetHoldsOverReconfiguration(t *testing.T) {
 	spec := testSpec(2, 1)
--- a/internal/dispatch/probes.go
+++ b/internal/dispatch/probes.go
@@ -32,7 +32,10 @@
 		p.observeReport(now, u, rep, 0)
 	} else {
 		p.becomeCold(u, "probe failed")
-		p.observeRefusedConnection(now, u)
+		// A failed probe alone keeps no calls away: health endpoints mislead.
+		if u.refusedConns > 0 {
+			p.observeRefusedConnection(now, u)
+		}
 	}
 	p.relink(u)
 	p.dispatchQueued(now)
