--- a/internal/dispatch/simulate/result.go
+++ b/internal/dispatch/simulate/result.go
@@ -19,6 +19,7 @@
 	ColdOver   int // calls that reached a cold upstream past its limit
 	MaxRunning int // highest number of concurrent calls on one upstream
 	Seconds    float64
+	inWindow   int
 	latencies  [3][]time.Duration
 }
 
@@ -31,6 +32,9 @@
 }
 
 func (r *Result) completed(e *engine, j *job, out outcome) {
+	if e.now >= warmUp && e.now < e.c.Duration && e.now <= j.deadline {
+		r.inWindow++
+	}
 	if !r.counts(j) {
 		return
 	}
@@ -73,7 +77,8 @@
 	return l[min(int(q*float64(len(l))), len(l)-1)]
 }
 
-// Goodput is the number of calls answered in time per second.
-func (r *Result) Goodput() float64 { return float64(sum(r.Good)) / r.Seconds }
+// Goodput is the number of calls answered in time per second, between the warm-up and the last arrival. Answers to calls
+// that are still queued then don't count: they would make an overloaded run look better than its capacity.
+func (r *Result) Goodput() float64 { return float64(r.inWindow) / r.Seconds }
 
 func sum(a [3]int) int { return a[0] + a[1] + a[2] }
