--- /dev/null
+++ b/entry/platform.go
@@ -0,0 +1,78 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"boragehinge.example/boragehinge/internal/membership"
+	"boragehinge.example/boragehinge/internal/platform"
+)
+
+// platformAccess is how the entry reaches the platform. client is nil without one.
+type platformAccess struct {
+	log    platform.Log
+	hosts  platform.HostList
+	client *platform.Client
+}
+
+// noPlatform stands for the platform when no URL is set: the entry learns everything from its peers.
+type noPlatform struct{}
+
+// Append implements platform.Log.
+func (noPlatform) Append(context.Context, []byte) (int64, error) {
+	return 0, fmt.Errorf("%w: no platform URL is set", platform.ErrUnavailable)
+}
+
+// Read implements platform.Log.
+func (noPlatform) Read(context.Context, int64, int, time.Duration) ([]platform.Entry, error) {
+	return nil, fmt.Errorf("%w: no platform URL is set", platform.ErrUnavailable)
+}
+
+// Hosts implements platform.HostList.
+func (noPlatform) Hosts(context.Context) ([]platform.Host, error) {
+	return nil, fmt.Errorf("%w: no platform URL is set", platform.ErrUnavailable)
+}
+
+func (e *Entry) connectPlatform() error {
+	if e.set.PlatformUrl == "" {
+		e.plat = platformAccess{log: noPlatform{}, hosts: noPlatform{}}
+		return nil
+	}
+	c, err := platform.NewClient(platform.ClientSettings{URL: e.set.PlatformUrl, Timeout: e.opt.timeout, Backoff: e.opt.backoff})
+	if err != nil {
+		return fmt.Errorf("platform: %w", err)
+	}
+	e.plat = platformAccess{log: c, hosts: c, client: c}
+	return nil
+}
+
+// followHosts reads the host list until ctx ends. The last list stays in force while the platform is away.
+func (e *Entry) followHosts(ctx context.Context) {
+	down := false
+	for {
+		hosts, err := e.plat.hosts.Hosts(ctx)
+		if err == nil {
+			e.takeHosts(hosts)
+		}
+		if failed := err != nil && ctx.Err() == nil; failed != down {
+			down = failed
+			e.log.Warn().Bool("reachable", !down).AnErr("error", err).Msg("host list")
+		}
+		if platform.Sleep(ctx, e.opt.hostsEvery) != nil {
+			return
+		}
+	}
+}
+
+func (e *Entry) takeHosts(hosts []platform.Host) {
+	e.hosts.Store(&hosts)
+	e.follower.SetHosts(hosts)
+	roster := make([]membership.Host, 0, len(hosts))
+	for _, h := range hosts {
+		roster = append(roster, membership.Host{
+			Name: h.Name, DataCentre: h.DataCentre, PeerAddress: h.Address, Leaving: h.State == platform.HostLeaving,
+		})
+	}
+	e.node.SetRoster(roster)
+}
