--- a/internal/operators/text.go
+++ b/internal/operators/text.go
@@ -22,12 +22,12 @@
 	return " since " + stamp(t)
 }
 
-// because returns " because REASON", or nothing without a reason.
+// because returns " (REASON)", or nothing without a reason. Reasons come as nouns, clauses and error texts.
 func because(reason string) string {
 	if reason == "" {
 		return ""
 	}
-	return " because " + reason
+	return " (" + reason + ")"
 }
 
 // by returns " by OPERATOR", or nothing when it is unknown.
