Serve calls end to end between entries

The entry library opens the ports, follows the log and the host list, owns pools by the view of the members, forwards calls of other pools, and keeps the at-most-once records. A pool that was taken over keeps cold upstreams free until a report shows that no call of the previous owner runs there, or 5 s have passed.

--- a/cmd/boragehinge/commands.go
+++ b/cmd/boragehinge/commands.go
@@ -5,6 +5,7 @@
 // commands lists the constructors of all commands. A new command is a file of its own and a line here.
 var commands = []func() *cobra.Command{
 	newCheckCommand,
+	newEntryCommand,
 	newVersionCommand,
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -17,6 +17,7 @@
 	"boragehinge.example/boragehinge/internal/facts"
 	"boragehinge.example/boragehinge/internal/idempotency"
 	"boragehinge.example/boragehinge/internal/membership"
+	"boragehinge.example/boragehinge/internal/operators"
 	"boragehinge.example/boragehinge/internal/peer"
 	"boragehinge.example/boragehinge/internal/platform"
 	"boragehinge.example/boragehinge/internal/proxy"
@@ -58,9 +59,11 @@
 	poison    *poisonGuard
 	moves     *moves
 	windows   windows
+	port      *operators.Port // nil with a handler of WithOperators
 	records   recordRequests
 
 	state      atomic.Int32 // lifecycle
+	stopBy     atomic.Int64 // end of the planned stop, Unix nanoseconds
 	wake       chan struct{}
 	background sync.WaitGroup // goroutines of single calls
 }
--- a/entry/platform.go
+++ b/entry/platform.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"time"
 
 	"boragehinge.example/boragehinge/internal/membership"
@@ -65,8 +66,23 @@
 	}
 }
 
-func (e *Entry) takeHosts(hosts []platform.Host) {
-	e.hosts.Store(&hosts)
+// takeHosts takes the host list. Upstream hosts on it are no entries, so they don't count for the roster.
+func (e *Entry) takeHosts(list []platform.Host) {
+	before := e.leavingHosts()
+	e.hosts.Store(&list)
+	if !maps.Equal(before, e.leavingHosts()) {
+		e.rebuild(e.follower.View())
+	}
+	snap := e.Snapshot()
+	hosts := make([]platform.Host, 0, len(list))
+	for _, h := range list {
+		if snap != nil {
+			if _, upstream := snap.Upstream(h.Name); upstream {
+				continue
+			}
+		}
+		hosts = append(hosts, h)
+	}
 	e.follower.SetHosts(hosts)
 	roster := make([]membership.Host, 0, len(hosts))
 	for _, h := range hosts {
--- /dev/null
+++ b/entry/poison.go
@@ -0,0 +1,117 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"boragehinge.example/boragehinge/internal/poison"
+	"boragehinge.example/boragehinge/internal/proxy"
+	"boragehinge.example/boragehinge/internal/transport"
+	"boragehinge.example/boragehinge/internal/wire"
+)
+
+const (
+	// gatherLost is the time in which lost connections of one upstream count as one event.
+	gatherLost = 30 * time.Millisecond
+	// A connection that can be opened again within this time was merely cut.
+	confirmTime = 500 * time.Millisecond
+)
+
+// poisonGuard connects the detector of requests that crash upstreams with the proxy and the peers.
+type poisonGuard struct {
+	e        *Entry
+	detector *poison.Detector
+	evidence atomic.Int64 // end of the time in which there may be evidence, Unix nanoseconds
+
+	mu   sync.Mutex
+	lost map[string][]poison.Fingerprints // by upstream, since the last lost connection was noticed
+}
+
+func newPoisonGuard(e *Entry) *poisonGuard {
+	return &poisonGuard{e: e, detector: poison.NewDetector(), lost: map[string][]poison.Fingerprints{}}
+}
+
+func digest(fingerprint string) poison.Fingerprints {
+	sum := sha256.Sum256([]byte(fingerprint))
+	return poison.Fingerprints{Content: hex.EncodeToString(sum[:16])}
+}
+
+// active reports whether there may be evidence. Without any, calls don't touch the detector, whose lock they share.
+func (g *poisonGuard) active(now time.Time) bool { return now.UnixNano() < g.evidence.Load() }
+
+// Blocked implements proxy.Poison.
+func (g *poisonGuard) Blocked(now time.Time, fingerprint string) bool {
+	if !g.active(now) {
+		return false
+	}
+	_, blocked := g.detector.Blocked(now, digest(fingerprint))
+	return blocked
+}
+
+func (g *poisonGuard) succeeded(c *proxy.Call) {
+	if g.active(time.Now()) {
+		g.detector.Succeeded(digest(c.Fingerprint()))
+	}
+}
+
+// ConnectionLost implements proxy.Poison. The loss counts only once the upstream proves to be gone.
+func (g *poisonGuard) ConnectionLost(_ time.Time, fingerprint, upstream string) {
+	g.mu.Lock()
+	first := len(g.lost[upstream]) == 0
+	g.lost[upstream] = append(g.lost[upstream], digest(fingerprint))
+	g.mu.Unlock()
+	if first {
+		g.e.background.Add(1)
+		go func() { defer g.e.background.Done(); g.confirm(upstream) }()
+	}
+}
+
+// confirm tries to connect to the upstream, and counts a crash if it refuses.
+func (g *poisonGuard) confirm(upstream string) {
+	time.Sleep(gatherLost)
+	g.mu.Lock()
+	running := g.lost[upstream]
+	delete(g.lost, upstream)
+	g.mu.Unlock()
+	conf := g.e.conf.Load()
+	u, ok := conf.snap.Upstream(upstream)
+	if !ok {
+		return
+	}
+	o, ok := g.e.ownership.byAddress.Load(u.Address)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), confirmTime)
+	defer cancel()
+	err := o.(*ownedPool).transport.CheckConnect(ctx, u.Address)
+	var failed *transport.Error
+	if !errors.As(err, &failed) || failed.Kind != transport.ConnectFailed || failed.Cause == transport.CauseDeadline {
+		return
+	}
+	g.crashed(u.Service, upstream, running)
+}
+
+func (g *poisonGuard) crashed(service, upstream string, running []poison.Fingerprints) {
+	now := time.Now()
+	g.evidence.Store(now.Add(poison.Memory).UnixNano())
+	list := g.detector.Register(now, service, upstream, running)
+	g.e.log.Warn().Str("service", service).Str("upstream", upstream).Int("requests", len(running)).Msg("upstream crashed")
+	for _, f := range list {
+		g.e.node.AddFact(wire.Envelope{Type: wire.EnvelopeTypePoisonFact, PoisonFact: &wire.PoisonFact{
+			Service: f.Service, Fingerprint: f.Fingerprint, Upstream: f.Upstream, AtMs: int(f.AtMs),
+		}})
+	}
+}
+
+// observe takes a fact of another entry. An own one that comes back has no effect.
+func (g *poisonGuard) observe(f wire.PoisonFact) {
+	now := time.Now()
+	g.evidence.Store(now.Add(poison.Memory).UnixNano())
+	g.detector.Observe(now, poison.Fact{Service: f.Service, Fingerprint: f.Fingerprint, Upstream: f.Upstream, AtMs: int64(f.AtMs)})
+}
--- /dev/null
+++ b/entry/slots.go
@@ -0,0 +1,80 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"boragehinge.example/boragehinge/internal/dispatch"
+	"boragehinge.example/boragehinge/internal/proxy"
+)
+
+// slots grants upstreams of the pools that this entry owns.
+type slots struct{ e *Entry }
+
+// Acquire implements proxy.Slots. A pool that this entry doesn't own on its own view is refused as not run, but for the
+// moment after a handover, in which others still send calls here.
+func (s slots) Acquire(ctx context.Context, pool string, c *proxy.Call) (proxy.Grant, error) {
+	o := s.e.ownership.serving(s.e, pool)
+	if o == nil {
+		s.e.recordRefusal(pool, c, string(proxy.ReasonWrongOwner))
+		return proxy.Grant{}, &proxy.Refusal{Reason: proxy.ReasonWrongOwner}
+	}
+	id, result, err := o.submit(c)
+	if err != nil {
+		return proxy.Grant{}, err
+	}
+	select {
+	case d := <-result:
+		return s.decided(o, id, c, d)
+	case <-ctx.Done():
+		o.cancel(id)
+		o.record(time.Now(), c, "", c.Version, "cancelled", ctx.Err().Error())
+		return proxy.Grant{}, ctx.Err()
+	}
+}
+
+func (s slots) decided(o *ownedPool, id uint64, c *proxy.Call, d decision) (proxy.Grant, error) {
+	now := time.Now()
+	if d.refusal != nil {
+		o.record(now, c, "", c.Version, "refused", string(d.refusal.Reason))
+		return proxy.Grant{}, &proxy.Refusal{Reason: refusalReason(d.refusal.Reason), RetryAfter: d.refusal.RetryAfter}
+	}
+	g := d.grant
+	s.e.metrics.QueueWait(o.id.Service, c.Class, g.Waited.Seconds())
+	o.record(now, c, g.Upstream, c.Version, "granted", "")
+	return proxy.Grant{ID: id, Pool: o.key, Upstream: g.Upstream, Address: g.Address, Cold: g.Cold}, nil
+}
+
+// refusalReason gives the refusal for a customer's limit the reason that is answered with 429.
+func refusalReason(r dispatch.Reason) proxy.Reason {
+	if r == dispatch.ReasonLimit {
+		return proxy.ReasonCustomerLimit
+	}
+	return proxy.Reason(r)
+}
+
+// Finish implements proxy.Slots.
+func (s slots) Finish(g proxy.Grant, c *proxy.Call, r proxy.Result) {
+	o := s.e.ownership.find(g.Pool)
+	if o == nil {
+		return
+	}
+	o.finish(g.ID, c, r)
+	if r.Kind == proxy.ResultSuccess {
+		s.e.poison.succeeded(c)
+	}
+}
+
+// Summary implements proxy.Slots.
+func (s slots) Summary(pool string) string {
+	o := s.e.ownership.find(pool)
+	if o == nil {
+		return ""
+	}
+	return o.figures(time.Now()).header()
+}
+
+func (e *Entry) recordRefusal(pool string, c *proxy.Call, reason string) {
+	o := ownedPool{e: e, key: pool}
+	o.record(time.Now(), c, "", c.Version, "refused", reason)
+}
--- a/internal/dispatch/coldstart.go
+++ b/internal/dispatch/coldstart.go
@@ -12,6 +12,8 @@
 	refusalsUntilCold = 2
 	// refusalsUntilEjected is the run of refusals after which an upstream gets no work for a backoff time.
 	refusalsUntilEjected = 6
+	// settleTime covers most calls that a previous owner left running on a cold upstream.
+	settleTime = 5 * time.Second
 	// Bounds of the time without calls after a refused connection.
 	minUnreachable = 50 * time.Millisecond
 	maxUnreachable = time.Second
@@ -70,3 +72,18 @@
 	u.unreachable = now.Add(min(minUnreachable<<min(u.refusedConns, 10), maxUnreachable))
 	u.refusedConns++
 }
+
+// settle keeps cold upstreams free of calls until the given time, after the pool was taken over.
+func (p *Pool) settle(until time.Time) {
+	for _, u := range p.upstreams {
+		u.settleUntil = until
+		p.relink(u)
+	}
+}
+
+// observeSettled ends the wait for calls of a previous owner when a trusted report of an idle upstream shows none.
+func (u *upstream) observeSettled(rep *LoadReport) {
+	if rep != nil && !u.report.distrusted && rep.InFlight+rep.Queued <= u.inFlight {
+		u.settleUntil = time.Time{}
+	}
+}
--- a/internal/dispatch/configure.go
+++ b/internal/dispatch/configure.go
@@ -20,6 +20,7 @@
 
 func (p *Pool) configure(now time.Time, spec Spec, first bool) {
 	reopened := !first && p.spec.Closed && !spec.Closed
+	takenOver := spec.TakenOver.After(p.spec.TakenOver)
 	spec.Upstreams = slices.Clone(spec.Upstreams)
 	p.spec = spec
 	if p.service.n == 0 {
@@ -35,6 +36,9 @@
 	p.configureClasses(spec.Classes)
 	p.limits.configure(now, spec.Limits)
 	p.configureUpstreams(now, spec.Upstreams, first, reopened)
+	if takenOver {
+		p.settle(spec.TakenOver.Add(settleTime))
+	}
 	p.keepHalf()
 }
 
--- a/internal/dispatch/outlier.go
+++ b/internal/dispatch/outlier.go
@@ -300,6 +300,9 @@
 	if !u.unreachable.IsZero() && !now.Before(u.unreachable) {
 		u.unreachable = time.Time{}
 	}
+	if !u.settleUntil.IsZero() && !now.Before(u.settleUntil) {
+		u.settleUntil = time.Time{}
+	}
 	if u.slowRoutes != 0 && !now.Before(u.slowUntil) {
 		for i := range u.routes {
 			if u.slowRoutes&(1<<i) != 0 {
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -122,6 +122,9 @@
 	Classes   []ClassSpec
 	Customers []CustomerSpec
 	Limits    []LimitSpec
+	// TakenOver is when another owner's pool was taken over; zero for none. Calls of that owner may still run. A cold
+	// upstream gets nothing until a probe's report shows that none runs there, or 5 s have passed.
+	TakenOver time.Time
 	// Closed stops all grants; queued calls are refused and running ones finish.
 	Closed bool
 	// MaxQueued bounds the memory of the queue; zero means 4096.
--- a/internal/dispatch/upstream.go
+++ b/internal/dispatch/upstream.go
@@ -23,7 +23,8 @@
 	cold         bool
 	coldReason   string
 	allowance    int
-	coldProgress int // successes at normal latency since the last step
+	coldProgress int       // successes at normal latency since the last step
+	settleUntil  time.Time // while cold, no calls until then: those of a previous owner may still run
 
 	draining     bool // by its own report
 	gone         bool // no longer in the Spec
@@ -83,6 +84,9 @@
 	if u.ejected() || u.leaving() || !u.unreachable.IsZero() {
 		return 0
 	}
+	if u.cold && !u.settleUntil.IsZero() {
+		return 0
+	}
 	n := min(u.allowance, u.spec.Slots)
 	if u.report.foreign > 0 {
 		n = max(1, n-u.report.foreign)
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -93,6 +93,36 @@
 	Reason string `json:"reason" yaml:"reason"`
 }
 
+type HandedRecord struct {
+	// Body of the stored answer, base64.
+	Body *string `json:"body,omitempty,omitzero" yaml:"body,omitempty"`
+
+	// Header corresponds to the JSON schema field "header".
+	Header HandedRecordHeader `json:"header,omitempty,omitzero" yaml:"header,omitempty"`
+
+	// ID corresponds to the JSON schema field "id".
+	ID string `json:"id" yaml:"id"`
+
+	// KeepWindows corresponds to the JSON schema field "keepWindows".
+	KeepWindows int `json:"keepWindows" yaml:"keepWindows"`
+
+	// Outcome corresponds to the JSON schema field "outcome".
+	Outcome HandedRecordOutcome `json:"outcome" yaml:"outcome"`
+
+	// Reason corresponds to the JSON schema field "reason".
+	Reason *string `json:"reason,omitempty,omitzero" yaml:"reason,omitempty"`
+
+	// Status of the stored answer; absent without one.
+	Status *int `json:"status,omitempty,omitzero" yaml:"status,omitempty"`
+}
+
+type HandedRecordHeader map[string][]string
+
+type HandedRecordOutcome string
+
+const HandedRecordOutcomeDone HandedRecordOutcome = "done"
+const HandedRecordOutcomeUnknown HandedRecordOutcome = "unknown"
+
 type Heartbeat struct {
 	// Echoes corresponds to the JSON schema field "echoes".
 	Echoes []Echo `json:"echoes,omitempty,omitzero" yaml:"echoes,omitempty"`
@@ -170,6 +200,25 @@
 	Version *int `json:"version,omitempty,omitzero" yaml:"version,omitempty"`
 }
 
+// Answer to GET /idempotency/ages: what an entry knows about the members of its
+// data centre, as JSON.
+type MemberAges struct {
+	// The entry knows all members that were lost within the retention.
+	Complete bool `json:"complete" yaml:"complete"`
+
+	// Time since each live member was first seen.
+	LiveMs MemberAgesLiveMs `json:"liveMs,omitempty,omitzero" yaml:"liveMs,omitempty"`
+
+	// Time since each lost member was lost.
+	LostMs MemberAgesLostMs `json:"lostMs,omitempty,omitzero" yaml:"lostMs,omitempty"`
+}
+
+// Time since each live member was first seen.
+type MemberAgesLiveMs map[string]int
+
+// Time since each lost member was lost.
+type MemberAgesLostMs map[string]int
+
 type PoisonFact struct {
 	// AtMs corresponds to the JSON schema field "atMs".
 	AtMs int `json:"atMs" yaml:"atMs"`
@@ -207,6 +256,38 @@
 	Slots *int `json:"slots,omitempty,omitzero" yaml:"slots,omitempty"`
 }
 
+// Answer to POST /idempotency/lookup. Without a record and without doubt, the
+// entry neither ran the call nor will.
+type RecordAnswer struct {
+	// State corresponds to the JSON schema field "state".
+	State RecordAnswerState `json:"state" yaml:"state"`
+}
+
+type RecordAnswerState string
+
+const RecordAnswerStateDone RecordAnswerState = "done"
+const RecordAnswerStateNone RecordAnswerState = "none"
+const RecordAnswerStateUnknown RecordAnswerState = "unknown"
+
+// Body of POST /idempotency/records: records that a stopping entry hands over, as
+// JSON.
+type RecordBatch struct {
+	// This batch ends the records of the incarnation's own request IDs.
+	Complete bool `json:"complete" yaml:"complete"`
+
+	// Incarnation that stops.
+	From string `json:"from" yaml:"from"`
+
+	// Records corresponds to the JSON schema field "records".
+	Records []HandedRecord `json:"records" yaml:"records"`
+}
+
+// Body of POST /idempotency/lookup, as JSON.
+type RecordQuestion struct {
+	// Opaque request ID that the sender is about to register.
+	ID string `json:"id" yaml:"id"`
+}
+
 type Records struct {
 	// Oldest offset that the sender can pass on.
 	Oldest *int `json:"oldest,omitempty,omitzero" yaml:"oldest,omitempty"`
@@ -215,11 +296,30 @@
 	Records []LogRecord `json:"records" yaml:"records"`
 }
 
+// Body of POST /idempotency/moved: an incarnation has stopped as planned, and its
+// records are complete elsewhere.
+type RecordsMoved struct {
+	// From corresponds to the JSON schema field "from".
+	From string `json:"from" yaml:"from"`
+
+	// Incarnation that holds the records; empty when there is none.
+	To string `json:"to" yaml:"to"`
+}
+
 type RecordsRequest struct {
 	// First offset wanted.
 	From int `json:"from" yaml:"from"`
 }
 
+// Answer to GET /idempotency/window on the peer port, as JSON.
+type RequestWindow struct {
+	// Incarnation corresponds to the JSON schema field "incarnation".
+	Incarnation string `json:"incarnation" yaml:"incarnation"`
+
+	// Current window of the entry's own request IDs.
+	Window int `json:"window" yaml:"window"`
+}
+
 type RouteStatistics struct {
 	// Calls corresponds to the JSON schema field "calls".
 	Calls *int `json:"calls,omitempty,omitzero" yaml:"calls,omitempty"`
