--- a/entry/pools.go
+++ b/entry/pools.go
@@ -83,6 +83,10 @@
 	if len(tried) == 0 {
 		version = p.version(now, conf, c)
 	}
+	if pool, again := p.newOwner(tried); again {
+		p.record(now, c, pool, "chosen", "the owner changed")
+		return pool, true
+	}
 	for _, id := range p.order(now, conf, c.Service, version) {
 		pool, ok := p.place(id, version)
 		if !ok || !worthTrying(pool, tried) {
@@ -95,6 +99,36 @@
 	return proxy.Pool{}, false
 }
 
+const (
+	// ownerWait is the time in which a changed owner becomes known, by the next heartbeats. Together with the attempts of
+	// a call it covers two heartbeat intervals.
+	ownerWait     = 150 * time.Millisecond
+	ownerWaitStep = 10 * time.Millisecond
+)
+
+// newOwner returns the pool whose owner refused because it isn't the owner by its own view. One of the two views is about
+// to change, so it waits for that and has the call tried again in any case.
+func (p pools) newOwner(tried []proxy.Tried) (proxy.Pool, bool) {
+	if len(tried) == 0 || tried[len(tried)-1].Reason != proxy.ReasonWrongOwner {
+		return proxy.Pool{}, false
+	}
+	last := tried[len(tried)-1].Pool
+	id, err := inventory.ParsePoolID(last.ID)
+	if err != nil {
+		return proxy.Pool{}, false
+	}
+	for waited := time.Duration(0); ; waited += ownerWaitStep {
+		pool, ok := p.place(id, last.Version)
+		if ok && (pool.Owner != last.Owner || waited >= ownerWait) {
+			return pool, true
+		}
+		if waited >= ownerWait {
+			return proxy.Pool{}, false
+		}
+		time.Sleep(ownerWaitStep)
+	}
+}
+
 // version follows the moves of the service. A call without a request ID is drawn at random.
 func (p pools) version(now time.Time, conf *configuration, c *proxy.Call) string {
 	id := c.RequestID
@@ -118,9 +152,26 @@
 		c.mu.Lock()
 		list, _ := c.chooser.Choose(now)
 		c.mu.Unlock()
-		return list
+		if len(list) > 0 {
+			return list
+		}
+	}
+	return nearest(p.e.candidates(conf, service, version))
+}
+
+// nearest returns the nearest candidate. When all pools refused lately, its owner decides: what was refused may have been
+// calls of a lower priority or with less time left.
+func nearest(list []routing.Candidate) []inventory.PoolID {
+	if len(list) == 0 {
+		return nil
 	}
-	return nil
+	best := list[0]
+	for _, c := range list {
+		if c.Delay < best.Delay {
+			best = c
+		}
+	}
+	return []inventory.PoolID{best.Pool}
 }
 
 // place finds the owner of a pool. A pool that this entry handed over a moment ago is still served here, until the other
@@ -135,16 +186,10 @@
 	return pool, ok && owner.PeerAddress != ""
 }
 
-// worthTrying leaves out the pools that were tried, but for one whose owner has changed since.
+// worthTrying leaves out the pools that refused.
 func worthTrying(pool proxy.Pool, tried []proxy.Tried) bool {
 	for _, t := range tried {
-		if t.Pool.ID != pool.ID {
-			continue
-		}
-		if t.Upstream == "" && t.Reason != proxy.ReasonWrongOwner {
-			return false
-		}
-		if t.Reason == proxy.ReasonWrongOwner && t.Pool.Owner == pool.Owner {
+		if t.Pool.ID == pool.ID && t.Upstream == "" {
 			return false
 		}
 	}
--- a/entry/run.go
+++ b/entry/run.go
@@ -175,7 +175,7 @@
 	if err == nil {
 		err = e.waitForCalls(ctx)
 	}
-	if handed := e.registrar.handOver(ctx); handed != nil {
+	if handed := e.handOverRecords(cut); handed != nil {
 		e.log.Warn().Err(handed).Msg("records not handed over; others answer unknown for them")
 	}
 	if err == nil {
@@ -186,6 +186,15 @@
 	return errors.Join(ErrCut, err)
 }
 
+// handOverTime is left for the records when the time of the planned stop has passed.
+const handOverTime = 10 * time.Second
+
+func (e *Entry) handOverRecords(cut context.Context) error {
+	ctx, cancel := context.WithTimeout(cut, handOverTime)
+	defer cancel()
+	return e.registrar.handOver(ctx)
+}
+
 // waitForCalls waits for calls of own pools, which other entries forwarded, and for forwards that these registered here.
 func (e *Entry) waitForCalls(ctx context.Context) error {
 	ticker := time.NewTicker(controlTick)
