--- a/internal/dispatch/coldstart_test.go
+++ b/internal/dispatch/coldstart_test.go
@@ -138,3 +138,26 @@
 	assert.Equal(t, Ejected, f.status("u002").Health)
 	assert.Equal(t, 1, f.ejected())
 }
+
+// Guards against full load on a single upstream that comes back from leaving.
+func TestReturnedUpstreamIsCold(t *testing.T) {
+	spec := testSpec(2, 3)
+	f := newFixture(t, spec)
+	spec.Upstreams[0].Leaving = true
+	f.p.Configure(f.now, spec)
+	f.p.Configure(f.now, testSpec(2, 3))
+	assert.Equal(t, Cold, f.status("u000").Health)
+	assert.Equal(t, Healthy, f.status("u001").Health)
+}
+
+// Guards against an ejected upstream that gets calls again although its last probe failed.
+func TestFailedProbeExtendsAnEjection(t *testing.T) {
+	f := newFixture(t, testSpec(6, 3))
+	f.play(time.Second, normal)
+	f.play(100*time.Millisecond, only("u002", Failure, 0))
+	require.Equal(t, 1, f.status("u002").Ejections)
+	f.p.ProbeResult(f.now, "u002", false, 0, nil)
+	f.advance(1500 * time.Millisecond)
+	assert.Equal(t, Ejected, f.status("u002").Health)
+	assert.Equal(t, 2, f.status("u002").Ejections)
+}
