Add the commands apply, status, explain, history and leave

apply ends with status 0 in force everywhere, 1 findings, 2 lost, 3 not known yet; after a lost race it names the winner and says what differs. A change ID makes a repeat take effect at most once.

--- /dev/null
+++ b/cmd/boragehinge/apply_test.go
@@ -0,0 +1,195 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"boragehinge.example/boragehinge/internal/configlog"
+	"boragehinge.example/boragehinge/internal/operators"
+	"boragehinge.example/boragehinge/internal/platform/standin"
+	"boragehinge.example/boragehinge/inventory"
+)
+
+// fakeEntry follows the stand-in's log; behind is the number of versions that its second member lags.
+type fakeEntry struct {
+	log    *standin.Server
+	behind bool
+	left   []operators.Leaving
+}
+
+func (f *fakeEntry) Ready() (bool, string)         { return true, "" }
+func (f *fakeEntry) Snapshot() *inventory.Snapshot { return nil }
+func (f *fakeEntry) Candidates(string, string) []operators.Candidate {
+	return nil
+}
+func (f *fakeEntry) Leave(_ context.Context, l operators.Leaving) (operators.LeaveResult, error) {
+	f.left = append(f.left, l)
+	return operators.LeaveResult{DataCentre: l.DataCentre, Told: 1, Logged: true}, nil
+}
+func (f *fakeEntry) State() operators.State {
+	s := operators.State{Now: time.Now(), Self: operators.Self{Host: "a", DataCentre: "te-1"}}
+	fold, err := configlog.Load(context.Background(), f.log)
+	if err != nil {
+		return s
+	}
+	v := fold.Current().Offset
+	s.Configuration = operators.Configuration{Version: v}
+	s.Members = []operators.Member{{Host: "a", Version: v}, {Host: "b", Version: v}}
+	if f.behind {
+		s.Members[1].Version--
+	}
+	return s
+}
+
+type bench struct {
+	log   *standin.Server
+	entry *fakeEntry
+	flags []string
+	file  string
+	text  string
+}
+
+func newBench(t *testing.T) *bench {
+	log := standin.New(nil)
+	entry := &fakeEntry{log: log}
+	platform := httptest.NewServer(log.Handler())
+	port := httptest.NewServer(operators.New(operators.Settings{Source: entry}))
+	t.Cleanup(platform.Close)
+	t.Cleanup(port.Close)
+	data, err := os.ReadFile("../../examples/yeux-clairs.yaml")
+	require.NoError(t, err)
+	b := &bench{log: log, entry: entry, file: filepath.Join(t.TempDir(), "inventory.yaml"), text: string(data)}
+	b.flags = []string{"apply", b.file, "--platform-url", platform.URL, "--operators", port.URL, "--operator", "ana"}
+	b.write(t, "", "")
+	return b
+}
+
+// write writes the example with one edit.
+func (b *bench) write(t *testing.T, old, replacement string) {
+	text := strings.Replace(b.text, old, replacement, 1)
+	require.NoError(t, os.WriteFile(b.file, []byte(text), 0o600))
+}
+
+func (b *bench) apply(t *testing.T, more ...string) (applyResult, error) {
+	out, err := run("", append(append(b.flags[:len(b.flags):len(b.flags)], "-o", "json"), more...)...)
+	var r applyResult
+	if out != "" {
+		require.NoError(t, json.Unmarshal([]byte(out), &r), out)
+	}
+	return r, err
+}
+
+// Guards against an edit that is reported in force before all entries have it, and against one applied twice.
+func TestApplyWaitsUntilInForceEverywhere(t *testing.T) {
+	b := newBench(t)
+	r, err := b.apply(t)
+	require.NoError(t, err)
+	assert.Equal(t, "in force", r.State)
+	assert.Equal(t, 2, r.Entries)
+	assert.Contains(t, r.Explanation, "is in force on all 2 entries")
+
+	again, err := b.apply(t)
+	require.NoError(t, err)
+	assert.Equal(t, "unchanged", again.State)
+	assert.Equal(t, r.Version, again.Version)
+
+	b.entry.behind = true
+	b.write(t, "weight: 4", "weight: 5")
+	r, err = b.apply(t, "--timeout", "400ms")
+	assert.ErrorIs(t, err, exitUndecided)
+	assert.Equal(t, []string{"b"}, r.WaitsFor)
+	assert.Equal(t, "accepted", r.State)
+	assert.NotEmpty(t, r.Changes)
+}
+
+// Guards against a broken inventory that reaches the log, or whose findings are cut short.
+func TestApplyRefusesFindings(t *testing.T) {
+	b := newBench(t)
+	b.flags[1] = "../../examples/broken.yaml"
+	r, err := b.apply(t)
+	assert.ErrorIs(t, err, errReported)
+	assert.GreaterOrEqual(t, len(r.Findings), 22)
+	assert.Zero(t, b.log.Counters().Appends)
+}
+
+// Guards against a lost race that overwrites the winner, or hides who won and what differs.
+func TestApplyReportsTheWinner(t *testing.T) {
+	b := newBench(t)
+	first, err := b.apply(t)
+	require.NoError(t, err)
+	b.write(t, "weight: 4", "weight: 5")
+	winner, err := b.apply(t, "--operator", "badr")
+	require.NoError(t, err)
+	b.write(t, "weight: 2", "weight: 3")
+	r, err := b.apply(t, "--base", "1")
+	require.Equal(t, int64(1), first.Version)
+	assert.ErrorIs(t, err, exitLost)
+	require.NotNil(t, r.Winner)
+	assert.Equal(t, winner.ChangeID, r.Winner.ChangeID)
+	assert.Contains(t, r.Explanation, "badr was first")
+	assert.NotEmpty(t, r.Differs)
+	fold, err := configlog.Load(t.Context(), b.log)
+	require.NoError(t, err)
+	assert.Equal(t, winner.Version, fold.Current().Offset)
+}
+
+// Guards against "not applied" for a change whose append took effect, and against a repeat that takes effect twice.
+func TestApplyWithLostAnswers(t *testing.T) {
+	b := newBench(t)
+	_, err := b.apply(t)
+	require.NoError(t, err)
+	b.log.SetFaults(standin.Faults{LoseAppends: -1})
+	b.write(t, "weight: 4", "weight: 5")
+	r, err := b.apply(t, "--timeout", "500ms")
+	assert.ErrorIs(t, err, exitUndecided)
+	assert.Equal(t, "unknown", r.State)
+	b.log.SetFaults(standin.Faults{LoseAnswers: 1})
+	again, err := b.apply(t, "--change-id", r.ChangeID, "--base", "1")
+	require.NoError(t, err)
+	assert.Equal(t, "in force", again.State)
+	repeated, err := b.apply(t, "--change-id", r.ChangeID, "--base", "1")
+	require.NoError(t, err)
+	assert.Equal(t, again.Version, repeated.Version)
+
+	b.log.SetFaults(standin.Faults{LogOutage: true})
+	_, err = b.apply(t, "--timeout", "500ms")
+	assert.ErrorContains(t, err, "the log cannot be read")
+}
+
+// Guards against commands that send something else than their flags say, or print what programs cannot read.
+func TestAskingCommands(t *testing.T) {
+	b := newBench(t)
+	port := []string{"--operators", "127.0.0.1:1," + b.flags[5]}
+	ask := func(args ...string) (string, error) { return run("", append(args, port...)...) }
+	out, err := ask("leave", "te-2", "--reason", "smoke", "--operator", "ana")
+	require.NoError(t, err)
+	assert.Contains(t, out, "te-2 leaves at once (smoke)")
+	assert.Equal(t, []operators.Leaving{{DataCentre: "te-2", Reason: "smoke", Operator: "ana"}}, b.entry.left)
+	_, err = ask("leave", "te-2")
+	assert.ErrorContains(t, err, "--reason is missing")
+	out, err = ask("status")
+	require.NoError(t, err)
+	assert.Contains(t, out, "no configuration is in force")
+	out, err = ask("status", "-o", "json")
+	require.NoError(t, err)
+	assert.True(t, json.Valid([]byte(out)))
+	out, err = ask("explain", "/bench/lookups/1", "--customer", "workbenches")
+	require.NoError(t, err)
+	assert.Contains(t, out, "no configuration is in force")
+	_, err = ask("explain", "bench")
+	assert.ErrorContains(t, err, "path must start with /")
+	out, err = ask("history", "--since", "1h")
+	require.NoError(t, err)
+	assert.Contains(t, out, "no event matches")
+	_, err = run("", "status", "--operators", "127.0.0.1:1")
+	assert.ErrorContains(t, err, "no entry answers")
+}
--- a/cmd/boragehinge/commands.go
+++ b/cmd/boragehinge/commands.go
@@ -4,7 +4,12 @@
 
 // commands lists the constructors of all commands. A new command is a file of its own and a line here.
 var commands = []func() *cobra.Command{
+	newApplyCommand,
 	newCheckCommand,
+	newExplainCommand,
+	newHistoryCommand,
+	newLeaveCommand,
+	newStatusCommand,
 	newVersionCommand,
 }
 
