--- a/client/try.go
+++ b/client/try.go
@@ -55,7 +55,7 @@
 	}
 	a := t.choose(list)
 	t.attempts++
-	resp, sent, err := t.roundTrip(ctx, a)
+	resp, sent, err := t.roundTrip(ctx, a) //nolint:bodyclose // result passes the body on
 	if err != nil {
 		return t.failed(ctx, a, sent, err)
 	}
--- a/internal/operators/port_test.go
+++ b/internal/operators/port_test.go
@@ -163,7 +163,7 @@
 	} {
 		s := newSource(t)
 		s.leaveErr = c.err
-		r := httptest.NewRequest("POST", "/v1/leave", strings.NewReader(c.body))
+		r := httptest.NewRequest(http.MethodPost, "/v1/leave", strings.NewReader(c.body))
 		r.Header.Set("Content-Type", c.kind)
 		w := httptest.NewRecorder()
 		New(Settings{Source: s}).ServeHTTP(w, r)
--- a/internal/operators/statement.go
+++ b/internal/operators/statement.go
@@ -54,7 +54,7 @@
 	out = append(out, logStatement(s)...)
 	out = append(out, configurationStatement(s))
 	for _, d := range s.DataCentres {
-		out = append(out, dataCentreStatement(s, d))
+		out = append(out, dataCentreStatement(d))
 	}
 	for _, m := range s.Moves {
 		out = append(out, moveStatement(m))
--- a/internal/operators/text.go
+++ b/internal/operators/text.go
@@ -156,7 +156,7 @@
 	return fmt.Sprint("has ", v)
 }
 
-func dataCentreStatement(s State, d DataCentre) Statement {
+func dataCentreStatement(d DataCentre) Statement {
 	st := Statement{Kind: KindDataCentre, Subject: d.Name, Since: d.Since, Why: d.Reason}
 	switch {
 	case d.Leaving:
