Tell a configuration in force everywhere by the lowest version

Digests between data centres carry the lowest version, not one per member, so the version of a member of another data centre is unknown and must not count as behind.

--- a/cmd/boragehinge/apply.go
+++ b/cmd/boragehinge/apply.go
@@ -240,16 +240,10 @@
 	return "entries"
 }
 
-// waitsFor returns the hosts that don't have the version in force, the asked one included.
+// waitsFor names the entries that don't have the version in force, the asked one included.
 func waitsFor(s operators.Status, version int64) []string {
-	var out []string
 	if s.Configuration.Version < version {
-		out = append(out, s.Self.Host)
+		return []string{s.Self.Host}
 	}
-	for _, m := range operators.Behind(s.Members, version) {
-		if m.Host != s.Self.Host || m.Incarnation != s.Self.Incarnation {
-			out = append(out, m.Host)
-		}
-	}
-	return out
+	return operators.Behind(operators.Configuration{Version: version, LowestVersion: s.Configuration.LowestVersion}, s.Members)
 }
--- a/internal/operators/print.go
+++ b/internal/operators/print.go
@@ -21,7 +21,7 @@
 		}
 		fmt.Fprintf(&b, "%-12s %s\n", st.Phase, st.Text)
 	}
-	fmt.Fprintf(&b, "%s, %s owned here, %d of them healthy\n", count(len(s.Members), "entry"),
+	fmt.Fprintf(&b, "%s; %s in the pools of the entries asked, %d of them healthy\n", count(len(s.Members), "entry"),
 		count(len(s.Upstreams), "upstream"), s.healthy())
 	_, err := io.WriteString(w, b.String())
 	return err
--- a/internal/operators/source.go
+++ b/internal/operators/source.go
@@ -56,6 +56,9 @@
 	ChangeID string    `json:"changeId,omitempty"`
 	Operator string    `json:"operator,omitempty"`
 	Since    time.Time `json:"since,omitzero"` // log time of the accepted change
+	// LowestVersion is the lowest version that a live entry has in force; 0 when one is not known. The version is in force
+	// everywhere when it is not higher.
+	LowestVersion int64 `json:"lowestVersion"`
 }
 
 // Log says whether the platform's log can be read.
@@ -72,7 +75,7 @@
 	DataCentre  string `json:"dataCentre"`
 	Incarnation string `json:"incarnation"`
 	Operators   string `json:"operators,omitempty"` // address of its operators' port
-	Version     int64  `json:"version"`             // configuration in force there; 0 when unknown
+	Version     int64  `json:"version,omitempty"`   // configuration in force there; 0 when unknown, as in other data centres
 	Leaving     bool   `json:"leaving,omitempty"`
 }
 
--- a/internal/operators/text.go
+++ b/internal/operators/text.go
@@ -116,44 +116,40 @@
 		st.Text = "no configuration is in force; waits for the first change in the log"
 		return st
 	}
-	behind := Behind(s.Members, c.Version)
+	behind := Behind(c, s.Members)
 	what := fmt.Sprintf("configuration %d%s", c.Version, by(c.Operator))
-	st.change = fmt.Sprint(c.Version, len(behind) == 0)
-	if len(behind) == 0 {
+	st.change = fmt.Sprint(c.Version)
+	switch {
+	case len(behind) > 0:
+		st.Phase, st.WaitsFor = InProgress, named(behind)
+		st.Text = fmt.Sprintf("%s is in force here%s, not yet on all %s; waits for %s", what, since(c.Since),
+			count(len(s.Members), "entry"), st.WaitsFor)
+	case len(s.Members) == 1:
+		st.Phase = Done
+		st.Text = fmt.Sprintf("%s is in force on the only entry%s", what, since(c.Since))
+	default:
 		st.Phase = Done
 		st.Text = fmt.Sprintf("%s is in force on all %s%s", what, count(len(s.Members), "entry"), since(c.Since))
-		if len(s.Members) == 1 {
-			st.Text = fmt.Sprintf("%s is in force on the only entry%s", what, since(c.Since))
-		}
-		return st
-	}
-	st.Phase = InProgress
-	names := make([]string, 0, len(behind))
-	for _, m := range behind {
-		names = append(names, fmt.Sprintf("%s (%s)", m.Host, versionName(m.Version)))
 	}
-	st.WaitsFor = named(names)
-	st.Text = fmt.Sprintf("%s is in force on %d of %s%s; waits for %s", what, len(s.Members)-len(behind),
-		count(len(s.Members), "entry"), since(c.Since), st.WaitsFor)
 	return st
 }
 
-// Behind returns the members that don't have the configuration version, or a later one, in force.
-func Behind(members []Member, version int64) []Member {
-	var out []Member
+// Behind names the live entries that don't have the configuration in force yet; it is empty when all have it. Of other
+// data centres only the lowest version is known, so their entries are not named.
+func Behind(c Configuration, members []Member) []string {
+	if c.LowestVersion >= c.Version {
+		return nil
+	}
+	var out []string
 	for _, m := range members {
-		if m.Version < version {
-			out = append(out, m)
+		if m.Version > 0 && m.Version < c.Version {
+			out = append(out, fmt.Sprintf("%s (has %d)", m.Host, m.Version))
 		}
 	}
-	return out
-}
-
-func versionName(v int64) string {
-	if v == 0 {
-		return "none yet"
+	if len(out) == 0 {
+		return []string{"entries whose version is not known yet"}
 	}
-	return fmt.Sprint("has ", v)
+	return out
 }
 
 func dataCentreStatement(d DataCentre) Statement {
