--- a/cmd/boragehinge/commands.go
+++ b/cmd/boragehinge/commands.go
@@ -6,6 +6,7 @@
 var commands = []func() *cobra.Command{
 	newApplyCommand,
 	newCheckCommand,
+	newEntryCommand,
 	newExplainCommand,
 	newHistoryCommand,
 	newLeaveCommand,
