Add dev: a whole installation in one process

The address answer named no entry of another data centre, since the version of a single member there is never known; such members count as ready now.

--- a/cmd/boragehinge/commands.go
+++ b/cmd/boragehinge/commands.go
@@ -7,6 +7,7 @@
 	newApplyCommand,
 	newCheckCommand,
 	newEntryCommand,
+	newDevCommand,
 	newExplainCommand,
 	newHistoryCommand,
 	newLeaveCommand,
--- a/entry/addresses.go
+++ b/entry/addresses.go
@@ -42,8 +42,9 @@
 	writeJSON(w, answer)
 }
 
-// discoverable returns the members as the address answer sees them. A member that reports no configuration version isn't
-// ready.
+// discoverable returns the members as the address answer sees them. A member of this data centre that reports no
+// configuration version isn't
+// ready; of other data centres the version of a single member is never known.
 func (e *Entry) discoverable(members []membership.Member, conf *configuration) []discovery.Member {
 	now := time.Now()
 	list := make([]discovery.Member, 0, len(members))
@@ -57,7 +58,7 @@
 			d.Leaving = d.Leaving || e.state.Load() != running
 		} else {
 			d.Window, d.WindowKnown = e.windows.of(now, m.Incarnation)
-			d.Unready = m.Version == 0
+			d.Unready = m.Version == 0 && m.DataCentre == e.set.DataCentre
 		}
 		list = append(list, d)
 	}
--- a/entry/state.go
+++ b/entry/state.go
@@ -50,7 +50,9 @@
 	s.Upstreams = e.upstreamStates(now)
 	if conf := e.conf.Load(); conf != nil {
 		v := conf.view.Version
-		s.Configuration = operators.Configuration{Version: v.Offset, ChangeID: v.ChangeID, Operator: v.Operator, Since: v.Time}
+		s.Configuration = operators.Configuration{
+			Version: v.Offset, ChangeID: v.ChangeID, Operator: v.Operator, Since: v.Time, LowestVersion: int64(view.LowestVersion),
+		}
 		s.DataCentres = e.dataCentres(now, conf, view.Members, s.Upstreams)
 	}
 	return s
--- a/internal/operators/explain.go
+++ b/internal/operators/explain.go
@@ -178,7 +178,9 @@
 		return fmt.Sprintf("pool %s is not tried: %s (%s)", c.Pool, c.Excluded, owner)
 	}
 	text := fmt.Sprintf("pool %s is choice %d: %s, %s", c.Pool, place, owner, waitText(c, class))
-	text += fmt.Sprintf(", %d of %s in use", c.InFlight, count(c.Slots, "slot"))
+	if c.Slots > 0 || c.OwnerHere {
+		text += fmt.Sprintf(", %d of %s in use", c.InFlight, count(c.Slots, "slot"))
+	}
 	if c.Delay > 0 {
 		text += fmt.Sprintf(", %s away", c.Delay)
 	}
