--- a/client/client_test.go
+++ b/client/client_test.go
@@ -285,6 +285,7 @@
 		assert.Equal(t, Done, r.Outcome)
 		assert.Equal(t, 3*time.Second, e.times[1].Sub(e.times[0]))
 		assert.NotEqual(t, e.calls[0].Header.Get(headerRequestID), e.calls[1].Header.Get(headerRequestID), "a call proved not run starts anew")
+		assert.Equal(t, []string{e.calls[0].Header.Get(headerRequestID)}, r.GivenUp)
 		assert.Equal(t, "27000", e.calls[1].Header.Get(headerDeadline))
 
 		for _, c := range []struct {
--- a/client/try.go
+++ b/client/try.go
@@ -21,7 +21,8 @@
 	tried    map[string]bool
 	attempts int
 
-	id      string  // request ID in use
+	id      string // request ID in use
+	givenUp []string
 	home    Address // address whose prefix the ID carries
 	maySent bool    // an attempt with this ID may have reached an upstream, and nothing proves the contrary
 }
@@ -32,7 +33,7 @@
 func (t *try) run(ctx context.Context) *Result {
 	for {
 		r, again, pause := t.attempt(ctx)
-		r.Attempts, r.RequestID = t.attempts, t.id
+		r.Attempts, r.RequestID, r.GivenUp = t.attempts, t.id, t.givenUp
 		if r.Outcome == NotRun && t.maySent {
 			// This attempt was not run, but an earlier one may have been.
 			r.Outcome = Unknown
@@ -80,6 +81,9 @@
 		t.id = t.call.RequestID
 	case t.idempotent():
 	case !t.maySent:
+		if t.id != "" {
+			t.givenUp = append(t.givenUp, t.id)
+		}
 		t.id, t.home = t.c.mint(a), a
 	}
 	return a
--- a/client/types.go
+++ b/client/types.go
@@ -71,7 +71,8 @@
 	RetryAfter time.Duration
 	Retried    bool // an entry has retried the call
 	RequestID  string
-	Address    string // of the entry that answered last
+	GivenUp    []string // earlier request IDs of the call, each proved not run
+	Address    string   // of the entry that answered last
 	Attempts   int
 	Err        error // of the last attempt without a response
 }
--- a/cmd/boragehinge/apply.go
+++ b/cmd/boragehinge/apply.go
@@ -88,6 +88,9 @@
   boragehinge apply inventory.yaml --platform-url http://127.0.0.1:9300 --operators 127.0.0.1:7003 -o json`,
 		Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
+			if a.operator == "" {
+				return errors.New("--operator is missing; the log keeps it with the change")
+			}
 			data, err := readInventory(cmd.InOrStdin(), args[0])
 			if err != nil {
 				return fmt.Errorf("the file cannot be read: %w", err)
--- a/cmd/boragehinge/commands.go
+++ b/cmd/boragehinge/commands.go
@@ -11,6 +11,8 @@
 	newExplainCommand,
 	newHistoryCommand,
 	newLeaveCommand,
+	newLoadCommand,
+	newSimulateCommand,
 	newStatusCommand,
 	newVersionCommand,
 }
--- a/cmd/boragehinge/dev_test.go
+++ b/cmd/boragehinge/dev_test.go
@@ -59,6 +59,12 @@
 	return l.b.String()
 }
 
+func writeFile(t *testing.T, text string) string {
+	file := filepath.Join(t.TempDir(), "inventory.yaml")
+	require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+	return file
+}
+
 // startDev runs dev until the end of the test and returns its output, with the guide complete.
 func startDev(t *testing.T) string {
 	ctx, stop := context.WithCancel(t.Context())
@@ -87,8 +93,7 @@
 	assert.Len(t, strings.Split(ports[1], ","), 3)
 	flags := []string{"--platform-url", platform, "--operators", ports[1], "-o", "json"}
 
-	file := filepath.Join(t.TempDir(), "edit.yaml")
-	require.NoError(t, os.WriteFile(file, []byte(strings.Replace(devSample, "weight: 2", "weight: 3", 1)), 0o600))
+	file := writeFile(t, strings.Replace(devSample, "weight: 2", "weight: 3", 1))
 	out, err := run("", append([]string{"apply", file}, flags...)...)
 	require.NoError(t, err, out)
 	var applied applyResult
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -36,7 +36,7 @@
 	Log       io.Writer // log lines of the entries
 	LogLevel  string    // debug, info, warn or error; empty means warn
 	Seed      uint64    // of the emulated upstreams
-	Operator  string    // of the first configuration
+	Operator  string    // of the first configuration; empty means dev
 }
 
 // Ports are the first ports in use. Entry i listens for callers on Callers+10*i, for peers on the next port, and for
@@ -99,6 +99,9 @@
 	in.PlatformURL = "http://" + ln.Addr().String()
 	in.server = &http.Server{Handler: in.Platform.Handler(), ReadHeaderTimeout: 5 * time.Second}
 	in.runs.Go(func() { _ = in.server.Serve(ln) })
+	if o.Operator == "" {
+		o.Operator = "dev"
+	}
 	data, err := inventory.EncodeJSON(o.Inventory)
 	if err != nil {
 		return err
--- a/internal/emulator/doc.go
+++ b/internal/emulator/doc.go
@@ -9,7 +9,8 @@
 //
 //   - /archive/<bytes> streams a body of that size in constant memory.
 //   - /-/faults reads (GET) and replaces (PUT) the fault switches as JSON.
-//   - /-/executions?id=ID returns the executions of one request ID, or the totals.
+//   - /-/executions?id=ID returns the executions of one request ID, with ?all those of all IDs,
+//     and otherwise the totals.
 //   - Anything else echoes request ID, method and path, after a service time drawn by route.
 //
 // Paths below /-/ take no slot. All exported methods are safe for concurrent use.
--- a/internal/emulator/record.go
+++ b/internal/emulator/record.go
@@ -67,6 +67,10 @@
 		writeJSON(w, s.Executions(id))
 		return
 	}
+	if r.URL.Query().Has("all") {
+		writeJSON(w, s.AllExecutions())
+		return
+	}
 	runs, shed := s.Totals()
 	writeJSON(w, struct {
 		Execution
