--- a/cmd/boragehinge/load.go
+++ b/cmd/boragehinge/load.go
@@ -96,7 +96,7 @@
 	f.IntVar(&o.Calls, "calls", 0, "largest number of calls after the warm-up; 0 is unlimited")
 	f.IntVar(&o.MaxOpen, "max-open", 20000, "calls open at a time; further ones are counted as not sent")
 	f.Uint64Var(&o.Seed, "seed", 1, "seed of arrivals, kinds and customers")
-	f.BoolVar(&o.Options.Direct, "direct", false, "send the same calls to the upstreams first, and compare")
+	f.BoolVar(&o.Direct, "direct", false, "send the same calls to the upstreams first, and compare")
 	f.BoolVar(&o.only, "direct-only", false, "send the calls to the upstreams only")
 	f.BoolVar(&o.Records, "records", true, "read the execution records of the upstreams")
 	return c
@@ -149,7 +149,7 @@
 func (o *loadOptions) run(ctx context.Context, out io.Writer) error {
 	var r loadResult
 	var err error
-	direct := o.Options.Direct || o.only
+	direct := o.Direct || o.only
 	if direct {
 		if r.Direct, err = o.once(ctx, true); err != nil {
 			return err
--- a/cmd/boragehinge/status.go
+++ b/cmd/boragehinge/status.go
@@ -99,13 +99,13 @@
 // show prints the statements that changed. An entry that doesn't answer is reported, and asked again the next time.
 func (w *statusWatcher) show(ctx context.Context) error {
 	s, _, err := w.get(ctx)
-	if err != nil && ctx.Err() == nil {
+	switch {
+	case ctx.Err() != nil:
+		return nil //nolint:nilerr // the end of the command is no failure
+	case err != nil:
 		_, err = fmt.Fprintf(w.out, "%s  %s\n", time.Now().UTC().Format(time.TimeOnly), err)
 		return err
 	}
-	if ctx.Err() != nil {
-		return nil
-	}
 	if w.output == "json" {
 		return json.NewEncoder(w.out).Encode(s)
 	}
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -135,7 +135,7 @@
 	}
 	in.Platform.SetHosts(hosts)
 	for _, e := range in.Entries {
-		in.run(e, cut)
+		in.run(cut, e)
 	}
 	in.runs.Go(func() { in.followUpstreams(running) })
 	return nil
@@ -177,7 +177,7 @@
 	return nil
 }
 
-func (in *Installation) run(e *Entry, cut context.Context) {
+func (in *Installation) run(cut context.Context, e *Entry) {
 	ctx, stop := context.WithCancel(context.Background())
 	e.stop = stop
 	in.runs.Go(func() {
