Say what runs in all pools of a data centre, and end urgent leavings with apply

A status of one entry counts the calls of its own pools only, so it could say that no call runs in a data centre while other owners still had some. The statement names the pools that it knows, and status adds up those of all entries. apply left a data centre out when the file, which names its state, changed nothing else; it now submits such a file.

--- a/cmd/boragehinge/apply.go
+++ b/cmd/boragehinge/apply.go
@@ -6,12 +6,15 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
 
 	"boragehinge.example/boragehinge/internal/configlog"
+	"boragehinge.example/boragehinge/internal/model"
 	"boragehinge.example/boragehinge/internal/operators"
 	"boragehinge.example/boragehinge/internal/platform"
 	"boragehinge.example/boragehinge/inventory"
@@ -143,7 +146,9 @@
 	if current.Inventory != nil {
 		r.Changes = inventory.Differences(current.Inventory, inv)
 	}
-	if bytes.Equal(current.Raw, encoded) && r.ChangeID == "" {
+	lifts := lifted(fold.View().Leaving, inv)
+	r.Changes = append(r.Changes, lifts...)
+	if bytes.Equal(current.Raw, encoded) && len(lifts) == 0 && r.ChangeID == "" {
 		r.State, r.Version, r.ChangeID = "unchanged", current.Offset, current.ChangeID
 		return a.await(ctx, r, began)
 	}
@@ -167,6 +172,29 @@
 	return a.await(ctx, r, began)
 }
 
+// lifted says which urgent leavings the inventory ends: those of data centres whose state it names, or that it no longer
+// has.
+func lifted(leaving map[string]configlog.LeavingState, inv *model.Inventory) []string {
+	named := map[string]string{}
+	if inv.Rules != nil {
+		for _, r := range inv.Rules.DataCentres {
+			named[r.DataCentre] = string(r.State)
+		}
+	}
+	snapshot := inventory.NewSnapshot(0, inv)
+	var out []string
+	for _, dc := range slices.Sorted(maps.Keys(leaving)) {
+		state, ok := named[dc]
+		if _, exists := snapshot.DataCentre(dc); !exists {
+			state, ok = "not in the inventory", true
+		}
+		if ok {
+			out = append(out, fmt.Sprintf("Data centre %s: the urgent leaving (%s) ends; its state is %s.", dc, leaving[dc].Reason, state))
+		}
+	}
+	return out
+}
+
 func undecided(r applyResult, err error) (applyResult, error) {
 	var not configlog.ErrNotSubmitted
 	if errors.As(err, &not) {
--- a/cmd/boragehinge/apply_test.go
+++ b/cmd/boragehinge/apply_test.go
@@ -194,3 +194,28 @@
 	_, err = run("", "status", "--operators", "127.0.0.1:1")
 	assert.ErrorContains(t, err, "no entry answers")
 }
+
+// Guards against a data centre that stays out because the file, which says that it is active, changes nothing else.
+func TestApplyEndsUrgentLeavings(t *testing.T) {
+	b := newBench(t)
+	first, err := b.apply(t)
+	require.NoError(t, err)
+	for _, dc := range []string{"te-2", "te-3"} {
+		data, err := configlog.Encode(configlog.Record{Kind: configlog.KindLeaving, Leaving: &configlog.Leaving{
+			DataCentre: dc, Base: first.Version, Operator: "ana", Reason: "smoke"}})
+		require.NoError(t, err)
+		_, err = b.log.Append(t.Context(), data)
+		require.NoError(t, err)
+	}
+	r, err := b.apply(t)
+	require.NoError(t, err)
+	assert.Equal(t, "in force", r.State)
+	assert.Equal(t, []string{"Data centre te-3: the urgent leaving (smoke) ends; its state is active."}, r.Changes)
+	fold, err := configlog.Load(t.Context(), b.log)
+	require.NoError(t, err)
+	assert.Contains(t, fold.View().Leaving, "te-2", "the file doesn't name its state")
+	assert.NotContains(t, fold.View().Leaving, "te-3")
+	again, err := b.apply(t)
+	require.NoError(t, err)
+	assert.Equal(t, "unchanged", again.State)
+}
--- a/entry/state.go
+++ b/entry/state.go
@@ -117,10 +117,14 @@
 		for _, p := range conf.snap.Pools() {
 			if p.ID.DataCentre == dc.Name {
 				d.Upstreams += len(p.Upstreams)
+				d.Pools++
 			}
 		}
 		for _, o := range e.ownership.all() {
 			if o.id.DataCentre == dc.Name {
+				if o.lostAt.Load() == 0 {
+					d.KnownPools++
+				}
 				d.QueuedCalls += o.figures(now).summary.Queued
 			}
 		}
--- a/internal/operators/client.go
+++ b/internal/operators/client.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -75,9 +76,23 @@
 	return out, silent, nil
 }
 
-// add takes over what only the other entry knows: its upstreams, and the statements on them, on itself and its log.
+// add takes over what only the other entry knows: its upstreams, the calls in its pools, and the statements on its
+// upstreams, on itself and its log.
 func (s *Status) add(other Status) {
 	s.Upstreams = append(s.Upstreams, other.Upstreams...)
+	for _, d := range other.DataCentres {
+		i := slices.IndexFunc(s.DataCentres, func(own DataCentre) bool { return own.Name == d.Name })
+		if i >= 0 {
+			s.DataCentres[i].add(d)
+		}
+	}
+	for i, st := range s.Statements {
+		for _, d := range s.DataCentres {
+			if st.Kind == KindDataCentre && st.Subject == d.Name {
+				s.Statements[i] = dataCentreStatement(d)
+			}
+		}
+	}
 	for _, st := range other.Statements {
 		switch st.Kind {
 		case KindUpstream, KindEntry:
@@ -89,6 +104,15 @@
 	}
 }
 
+// add adds what another entry sees in its pools.
+func (d *DataCentre) add(other DataCentre) {
+	d.KnownPools += other.KnownPools
+	d.RunningCalls += other.RunningCalls
+	d.QueuedCalls += other.QueuedCalls
+	d.Cold += other.Cold
+	d.Returning = d.Returning || other.Returning
+}
+
 // History asks one entry for its history.
 func (c *Client) History(ctx context.Context, q HistoryQuery) (History, error) {
 	v := url.Values{}
--- a/internal/operators/print.go
+++ b/internal/operators/print.go
@@ -6,6 +6,9 @@
 	"strings"
 )
 
+// maxUpstreamLines bounds the statements on upstreams in the text. A data centre that returns makes one per upstream.
+const maxUpstreamLines = 20
+
 // WriteText writes the statements that an operator acts on, then one line for everything else.
 func (s Status) WriteText(w io.Writer) error {
 	var b strings.Builder
@@ -15,12 +18,22 @@
 	} else {
 		fmt.Fprintf(&b, ", not ready: %s\n", s.NotReady)
 	}
+	upstreams := 0
 	for _, st := range s.Statements {
 		if st.Kind == KindMember && st.Phase == Done {
 			continue
 		}
+		if st.Kind == KindUpstream {
+			upstreams++
+			if upstreams > maxUpstreamLines {
+				continue
+			}
+		}
 		fmt.Fprintf(&b, "%-12s %s\n", st.Phase, st.Text)
 	}
+	if more := upstreams - maxUpstreamLines; more > 0 {
+		fmt.Fprintf(&b, "%-12s %s that are not healthy; -o json lists all\n", "", count(more, "more upstream"))
+	}
 	fmt.Fprintf(&b, "%s; %s in the pools of the entries asked, %d of them healthy\n", count(len(s.Members), "entry"),
 		count(len(s.Upstreams), "upstream"), s.healthy())
 	_, err := io.WriteString(w, b.String())
--- a/internal/operators/source.go
+++ b/internal/operators/source.go
@@ -79,8 +79,8 @@
 	Leaving     bool   `json:"leaving,omitempty"`
 }
 
-// DataCentre is the state of a data centre as far as this entry knows it. The figures are sums over the pools of the
-// data centre, of own pools and of summaries from other owners.
+// DataCentre is the state of a data centre as far as this entry knows it. Calls and cold upstreams are counted in the
+// KnownPools, which are those that this entry owns.
 type DataCentre struct {
 	Name         string    `json:"name"`
 	Leaving      bool      `json:"leaving,omitempty"`
@@ -92,6 +92,8 @@
 	Entries      int       `json:"entries"`
 	Upstreams    int       `json:"upstreams"`
 	Cold         int       `json:"cold,omitempty"`
+	Pools        int       `json:"pools"`
+	KnownPools   int       `json:"knownPools"`
 	RunningCalls int       `json:"runningCalls"`
 	QueuedCalls  int       `json:"queuedCalls,omitempty"`
 }
--- a/internal/operators/text.go
+++ b/internal/operators/text.go
@@ -178,6 +178,13 @@
 		who = " by the urgent command" + strings.Replace(by(d.Operator), " by", " of", 1)
 	}
 	open := d.RunningCalls + d.QueuedCalls
+	if d.KnownPools < d.Pools {
+		st.Phase, st.WaitsFor = InProgress, "figures of the other pools"
+		st.Text = fmt.Sprintf("data centre %s is leaving%s%s%s; gets no new calls; this entry sees %s in %d of its %s", d.Name, who,
+			since(d.Since), because(d.Reason), count(open, "call"), d.KnownPools, count(d.Pools, "pool"))
+		st.change = "leaving" + d.Reason
+		return
+	}
 	if open == 0 {
 		st.Phase = Done
 		st.Text = fmt.Sprintf("data centre %s is out of service%s%s%s; no call runs there", d.Name, who, since(d.Since),
--- a/internal/operators/text_test.go
+++ b/internal/operators/text_test.go
@@ -60,6 +60,8 @@
 			"the log cannot be read since the start of this entry; the configuration in force stays, no change is accepted and no move makes a step"},
 		{"leaving", State{DataCentres: []DataCentre{{Name: "te-2", Leaving: true, Urgent: true, Operator: "ana", Reason: "of a fire", Since: at, RunningCalls: 2, QueuedCalls: 1}}},
 			KindDataCentre, InProgress, "data centre te-2 is leaving by the urgent command of ana since 2026-03-02 08:00:00 (of a fire); gets no new calls; waits for 3 calls that still run there"},
+		{"other pools", State{DataCentres: []DataCentre{{Name: "te-2", Leaving: true, Reason: "a power test", Pools: 2, KnownPools: 1, RunningCalls: 1}}},
+			KindDataCentre, InProgress, "data centre te-2 is leaving (a power test); gets no new calls; this entry sees 1 call in 1 of its 2 pools"},
 		{"out", State{DataCentres: []DataCentre{{Name: "te-2", Leaving: true, Reason: "a power test", Since: at}}},
 			KindDataCentre, Done, "data centre te-2 is out of service since 2026-03-02 08:00:00 (a power test); no call runs there"},
 		{"returning", State{DataCentres: []DataCentre{{Name: "te-2", Returning: true, Upstreams: 3, Cold: 2, Since: at}}},
