--- a/cmd/boragehinge/apply_test.go
+++ b/cmd/boragehinge/apply_test.go
@@ -166,6 +166,32 @@
 	assert.ErrorContains(t, err, "the log cannot be read")
 }
 
+// Guards against a watch that repeats itself with each figure, or hides a new statement behind the pause for figures.
+func TestWatchPrintsWhatChanged(t *testing.T) {
+	b := newBench(t)
+	var out strings.Builder
+	w := &statusWatcher{client: &operators.Client{Addresses: []string{b.flags[5]}}, here: true, output: "text", out: &out}
+	require.NoError(t, w.show(t.Context()))
+	assert.Contains(t, out.String(), "no configuration is in force")
+	out.Reset()
+	require.NoError(t, w.show(t.Context()))
+	assert.Empty(t, out.String())
+	_, err := b.apply(t)
+	require.NoError(t, err)
+	require.NoError(t, w.show(t.Context()))
+	assert.Contains(t, out.String(), "configuration 1 is in force on all 2 entries")
+
+	now := time.Now()
+	p := printed{operators.Statement{Phase: operators.InProgress, Change: "leaving", Text: "9 calls"}, now}
+	assert.False(t, p.due(now.Add(time.Second), operators.Statement{Phase: operators.InProgress, Change: "leaving", Text: "8 calls"}))
+	assert.True(t, p.due(now.Add(repeatFigures), operators.Statement{Phase: operators.InProgress, Change: "leaving", Text: "8 calls"}))
+	assert.True(t, p.due(now, operators.Statement{Phase: operators.Done, Change: "leaving", Text: "9 calls"}))
+	out.Reset()
+	w.client.Addresses = []string{"127.0.0.1:1"}
+	require.NoError(t, w.show(t.Context()), "an entry that doesn't answer is asked again")
+	assert.Contains(t, out.String(), "no entry answers")
+}
+
 // Guards against commands that send something else than their flags say, or print what programs cannot read.
 func TestAskingCommands(t *testing.T) {
 	b := newBench(t)
--- a/cmd/boragehinge/status.go
+++ b/cmd/boragehinge/status.go
@@ -53,7 +53,24 @@
 	here   bool
 	output outputFlag
 	out    io.Writer
-	last   map[string]string // text by kind and subject
+	last   map[string]printed // by kind and subject
+}
+
+// repeatFigures is the time after which --watch prints a statement again in which only figures have changed.
+const repeatFigures = 5 * time.Second
+
+// printed is a statement that --watch printed last.
+type printed struct {
+	operators.Statement
+	at time.Time
+}
+
+// due reports whether the statement has to be printed anew.
+func (p printed) due(now time.Time, st operators.Statement) bool {
+	if p.Change != st.Change || p.Phase != st.Phase {
+		return true
+	}
+	return p.Text != st.Text && now.Sub(p.at) >= repeatFigures
 }
 
 func (w *statusWatcher) get(ctx context.Context) (operators.Status, int, error) {
@@ -109,20 +126,22 @@
 	if w.output == "json" {
 		return json.NewEncoder(w.out).Encode(s)
 	}
-	now := map[string]string{}
+	now := map[string]printed{}
 	for _, st := range s.Statements {
 		key := string(st.Kind) + st.Subject
-		now[key] = st.Text
-		if w.last[key] == st.Text {
+		old, ok := w.last[key]
+		if ok && !old.due(s.Now, st) {
+			now[key] = old
 			continue
 		}
+		now[key] = printed{st, s.Now}
 		if _, err := fmt.Fprintf(w.out, "%s  %-12s %s\n", s.Now.UTC().Format(time.TimeOnly), st.Phase, st.Text); err != nil {
 			return err
 		}
 	}
-	for key, text := range w.last {
+	for key, old := range w.last {
 		if _, ok := now[key]; !ok {
-			if _, err := fmt.Fprintf(w.out, "%s  %-12s no longer: %s\n", s.Now.UTC().Format(time.TimeOnly), "ended", text); err != nil {
+			if _, err := fmt.Fprintf(w.out, "%s  %-12s no longer: %s\n", s.Now.UTC().Format(time.TimeOnly), "ended", old.Text); err != nil {
 				return err
 			}
 		}
--- a/internal/operators/history.go
+++ b/internal/operators/history.go
@@ -37,7 +37,7 @@
 	for _, s := range statements {
 		seen[s.key()] = true
 		old, ok := h.last[s.key()]
-		if !ok || old.change != s.change || old.Phase != s.Phase {
+		if !ok || old.Change != s.Change || old.Phase != s.Phase {
 			h.add(now, s)
 		}
 		h.last[s.key()] = s
--- a/internal/operators/statement.go
+++ b/internal/operators/statement.go
@@ -39,9 +39,9 @@
 	Evidence string    `json:"evidence,omitempty"`
 	Text     string    `json:"text"`
 
-	// change is what must differ for the history to record the statement anew. It leaves out figures that change all
-	// the time, such as running calls, which would push everything else out of the history.
-	change string
+	// Change differs when the statement says something new. It leaves out figures that change all the time, such as
+	// running calls, which would push everything else out of the history.
+	Change string `json:"change"`
 }
 
 // key identifies the subject over time.
--- a/internal/operators/text.go
+++ b/internal/operators/text.go
@@ -70,7 +70,7 @@
 	if s.Self.Stopping {
 		st := Statement{
 			Kind: KindEntry, Subject: s.Self.Host, Phase: InProgress, By: s.Self.StopBy,
-			Why: "a planned stop", WaitsFor: count(s.Self.RunningCalls, "running call"), change: "stopping",
+			Why: "a planned stop", WaitsFor: count(s.Self.RunningCalls, "running call"), Change: "stopping",
 		}
 		st.Text = fmt.Sprintf("entry %s is stopping as planned; waits for %s and for callers to let go of its address",
 			s.Self.Host, st.WaitsFor)
@@ -81,7 +81,7 @@
 	}
 	if !s.Self.ViewConfirmed && s.Configuration.Version > 0 {
 		out = append(out, Statement{
-			Kind: KindEntry, Subject: s.Self.Host + " view", Phase: Waiting, change: "unconfirmed",
+			Kind: KindEntry, Subject: s.Self.Host + " view", Phase: Waiting, Change: "unconfirmed",
 			WaitsFor: "a majority of the entries of " + s.Self.DataCentre + " to report the same view",
 			Text: fmt.Sprintf("entry %s gives no work to cold upstreams; waits for a majority of the entries of %s to report "+
 				"the same view; warm upstreams are served", s.Self.Host, s.Self.DataCentre),
@@ -96,7 +96,7 @@
 	}
 	st := Statement{
 		Kind: KindLog, Subject: "log", Phase: Waiting, Why: s.Log.Problem, Since: s.Log.LastRead,
-		WaitsFor: "the platform's log", change: "unreachable",
+		WaitsFor: "the platform's log", Change: "unreachable",
 	}
 	st.Text = "the log cannot be read"
 	if s.Log.LastRead.IsZero() {
@@ -112,13 +112,13 @@
 	c := s.Configuration
 	st := Statement{Kind: KindConfiguration, Subject: "configuration", Since: c.Since}
 	if c.Version == 0 {
-		st.Phase, st.WaitsFor, st.change = Waiting, "the first change in the log", "none"
+		st.Phase, st.WaitsFor, st.Change = Waiting, "the first change in the log", "none"
 		st.Text = "no configuration is in force; waits for the first change in the log"
 		return st
 	}
 	behind := Behind(c, s.Members)
 	what := fmt.Sprintf("configuration %d%s", c.Version, by(c.Operator))
-	st.change = fmt.Sprint(c.Version)
+	st.Change = fmt.Sprint(c.Version)
 	switch {
 	case len(behind) > 0:
 		st.Phase, st.WaitsFor = InProgress, named(behind)
@@ -162,12 +162,12 @@
 		st.WaitsFor = count(d.Cold, "cold upstream")
 		st.Text = fmt.Sprintf("data centre %s returns%s: %d of %s %s warm; waits for the others", d.Name, since(d.Since),
 			d.Upstreams-d.Cold, count(d.Upstreams, "upstream"), are(d.Upstreams-d.Cold))
-		st.change = "returns"
+		st.Change = "returns"
 	default:
 		st.Phase, st.Why = Done, ""
 		st.Text = fmt.Sprintf("data centre %s is in service%s with %s and %s", d.Name, since(d.Since),
 			count(d.Entries, "entry"), count(d.Upstreams, "upstream"))
-		st.change = "in service"
+		st.Change = "in service"
 	}
 	return st
 }
@@ -182,21 +182,21 @@
 		st.Phase, st.WaitsFor = InProgress, "figures of the other pools"
 		st.Text = fmt.Sprintf("data centre %s is leaving%s%s%s; gets no new calls; this entry sees %s in %d of its %s", d.Name, who,
 			since(d.Since), because(d.Reason), count(open, "call"), d.KnownPools, count(d.Pools, "pool"))
-		st.change = "leaving" + d.Reason
+		st.Change = "leaving" + d.Reason
 		return
 	}
 	if open == 0 {
 		st.Phase = Done
 		st.Text = fmt.Sprintf("data centre %s is out of service%s%s%s; no call runs there", d.Name, who, since(d.Since),
 			because(d.Reason))
-		st.change = "out of service" + d.Reason
+		st.Change = "out of service" + d.Reason
 		return
 	}
 	st.Phase = InProgress
 	st.WaitsFor = count(open, "call")
 	st.Text = fmt.Sprintf("data centre %s is leaving%s%s%s; gets no new calls; waits for %s that still %s there", d.Name,
 		who, since(d.Since), because(d.Reason), count(open, "call"), run(open))
-	st.change = "leaving" + d.Reason
+	st.Change = "leaving" + d.Reason
 }
 
 func are(n int) string {
@@ -209,7 +209,7 @@
 func moveStatement(m rollout.Status) Statement {
 	st := Statement{
 		Kind: KindMove, Subject: m.Service + " " + m.Move, Since: m.Since, By: m.By, Evidence: m.Evidence,
-		Text: "service " + m.String(), change: fmt.Sprint(m.State, m.Percent),
+		Text: "service " + m.String(), Change: fmt.Sprint(m.State, m.Percent),
 	}
 	switch m.State {
 	case rollout.Done:
@@ -228,7 +228,7 @@
 func upstreamStatement(s State, u Upstream) (Statement, bool) {
 	st := Statement{
 		Kind: KindUpstream, Subject: u.Name, Phase: InProgress, Why: u.Reason, Since: u.Since,
-		change: string(u.Health) + u.Reason,
+		Change: string(u.Health) + u.Reason,
 	}
 	what := fmt.Sprintf("upstream %s of %s in %s", u.Name, u.Service, u.DataCentre)
 	switch u.Health {
@@ -270,10 +270,10 @@
 func memberStatements(s State) []Statement {
 	var out []Statement
 	for _, m := range s.Members {
-		st := Statement{Kind: KindMember, Subject: m.Host, Phase: Done, change: "live" + m.Incarnation}
+		st := Statement{Kind: KindMember, Subject: m.Host, Phase: Done, Change: "live" + m.Incarnation}
 		st.Text = fmt.Sprintf("entry %s in %s is a live member", m.Host, m.DataCentre)
 		if m.Leaving {
-			st.Phase, st.Why, st.change = InProgress, "a planned stop", "leaving"
+			st.Phase, st.Why, st.Change = InProgress, "a planned stop", "leaving"
 			st.Text = fmt.Sprintf("entry %s in %s is leaving; owns no pools and finishes its calls", m.Host, m.DataCentre)
 		}
 		out = append(out, st)
