--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -129,11 +129,7 @@
 			return err
 		}
 	}
-	var hosts []platform.Host
-	for _, e := range in.Entries {
-		hosts = append(hosts, platform.Host{Name: e.Host, DataCentre: e.DataCentre, Address: e.PeerAddress, State: platform.HostLive})
-	}
-	in.Platform.SetHosts(hosts)
+	in.setHosts(nil, platform.HostLive)
 	for _, e := range in.Entries {
 		in.run(cut, e)
 	}
@@ -262,6 +258,31 @@
 	return in.Kill()
 }
 
+// StopEntry stops one entry as planned and returns when it has ended. The host list shows it as leaving meanwhile, and
+// without it afterwards.
+func (in *Installation) StopEntry(i int) {
+	e := in.Entries[i]
+	in.setHosts(e, platform.HostLeaving)
+	e.stop()
+	<-e.ended
+	in.setHosts(e, "")
+}
+
+// setHosts sets the host list. The state of one entry is given; an empty one leaves it out.
+func (in *Installation) setHosts(changed *Entry, state platform.HostState) {
+	var hosts []platform.Host
+	for _, e := range in.Entries {
+		h := platform.Host{Name: e.Host, DataCentre: e.DataCentre, Address: e.PeerAddress, State: platform.HostLive}
+		if e == changed {
+			h.State = state
+		}
+		if h.State != "" {
+			hosts = append(hosts, h)
+		}
+	}
+	in.Platform.SetHosts(hosts)
+}
+
 // Kill ends everything at once. It returns the failures so far.
 func (in *Installation) Kill() error {
 	if in.cut != nil {
--- a/internal/dev/dev_test.go
+++ b/internal/dev/dev_test.go
@@ -118,6 +118,48 @@
 	}
 }
 
+// Guards against a planned stop that interrupts calls: orders are sent without pause while one of two entries stops.
+func TestPlannedStopOfAnEntryInterruptsNoCall(t *testing.T) {
+	in := startSmall(t)
+	bench := newClient(t, in, "bench")
+	stopped := make(chan struct{})
+	var mu sync.Mutex
+	ends := map[client.Outcome]int{}
+	var ids []string
+	var wait sync.WaitGroup
+	for worker := range 3 {
+		wait.Go(func() {
+			after := 0 // calls after the stop
+			for i := 0; after < 5; i++ {
+				r, err := bench.Do(t.Context(), client.Call{Method: "POST", Path: fmt.Sprintf("/bench/orders/%d-%d", worker, i)})
+				if !assert.NoError(t, err) {
+					return
+				}
+				select {
+				case <-stopped:
+					after++
+				default:
+				}
+				mu.Lock()
+				ends[r.Outcome]++
+				if r.Outcome != client.Done {
+					t.Logf("%s: %s %s after %d attempts at %s: %v", r.RequestID, r.Outcome, r.Reason, r.Attempts, r.Address, r.Err)
+				}
+				ids = append(append(ids, r.GivenUp...), r.RequestID)
+				mu.Unlock()
+			}
+		})
+	}
+	in.StopEntry(1)
+	close(stopped)
+	wait.Wait()
+	assert.Zero(t, ends[client.NotRun]+ends[client.Unknown], ends)
+	assert.Greater(t, ends[client.Done], 50)
+	for _, id := range ids {
+		assert.LessOrEqual(t, in.Executions(id).Begun, 1, id)
+	}
+}
+
 // Guards against an upstream of a later configuration that isn't there, and a data centre that still gets work after the
 // urgent command.
 func TestLaterUpstreamsAndUrgentLeaving(t *testing.T) {
