--- a/entry/state.go
+++ b/entry/state.go
@@ -50,7 +50,9 @@
 	s.Upstreams = e.upstreamStates(now)
 	if conf := e.conf.Load(); conf != nil {
 		v := conf.view.Version
-		s.Configuration = operators.Configuration{Version: v.Offset, ChangeID: v.ChangeID, Operator: v.Operator, Since: v.Time}
+		s.Configuration = operators.Configuration{
+			Version: v.Offset, ChangeID: v.ChangeID, Operator: v.Operator, Since: v.Time, LowestVersion: int64(view.LowestVersion),
+		}
 		s.DataCentres = e.dataCentres(now, conf, view.Members, s.Upstreams)
 	}
 	return s
@@ -115,10 +117,14 @@
 		for _, p := range conf.snap.Pools() {
 			if p.ID.DataCentre == dc.Name {
 				d.Upstreams += len(p.Upstreams)
+				d.Pools++
 			}
 		}
 		for _, o := range e.ownership.all() {
 			if o.id.DataCentre == dc.Name {
+				if o.lostAt.Load() == 0 {
+					d.KnownPools++
+				}
 				d.QueuedCalls += o.figures(now).summary.Queued
 			}
 		}
--- a/internal/operators/source.go
+++ b/internal/operators/source.go
@@ -56,6 +56,9 @@
 	ChangeID string    `json:"changeId,omitempty"`
 	Operator string    `json:"operator,omitempty"`
 	Since    time.Time `json:"since,omitzero"` // log time of the accepted change
+	// LowestVersion is the lowest version that a live entry has in force; 0 when one is not known. The version is in force
+	// everywhere when it is not higher.
+	LowestVersion int64 `json:"lowestVersion"`
 }
 
 // Log says whether the platform's log can be read.
@@ -72,12 +75,12 @@
 	DataCentre  string `json:"dataCentre"`
 	Incarnation string `json:"incarnation"`
 	Operators   string `json:"operators,omitempty"` // address of its operators' port
-	Version     int64  `json:"version"`             // configuration in force there; 0 when unknown
+	Version     int64  `json:"version,omitempty"`   // configuration in force there; 0 when unknown, as in other data centres
 	Leaving     bool   `json:"leaving,omitempty"`
 }
 
-// DataCentre is the state of a data centre as far as this entry knows it. The figures are sums over the pools of the
-// data centre, of own pools and of summaries from other owners.
+// DataCentre is the state of a data centre as far as this entry knows it. Calls and cold upstreams are counted in the
+// KnownPools, which are those that this entry owns.
 type DataCentre struct {
 	Name         string    `json:"name"`
 	Leaving      bool      `json:"leaving,omitempty"`
@@ -89,6 +92,8 @@
 	Entries      int       `json:"entries"`
 	Upstreams    int       `json:"upstreams"`
 	Cold         int       `json:"cold,omitempty"`
+	Pools        int       `json:"pools"`
+	KnownPools   int       `json:"knownPools"`
 	RunningCalls int       `json:"runningCalls"`
 	QueuedCalls  int       `json:"queuedCalls,omitempty"`
 }
