--- a/client/client_test.go
+++ b/client/client_test.go
@@ -267,6 +267,14 @@
 			assert.Equal(t, Done, r.Outcome)
 			assert.Contains(t, r.RequestID, "bh1.a1:1.")
 		}
+		assert.Equal(t, 1, do(t, c, order).Attempts, "an address that failed is left alone for a while")
+		time.Sleep(avoidTime + time.Millisecond)
+		n.entries["a2:1"].down = false
+		used := map[string]bool{}
+		for range 2 {
+			used[do(t, c, order).Address] = true
+		}
+		assert.Len(t, used, 2, "and used again later")
 	})
 }
 
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -54,6 +54,8 @@
 		assert.InDelta(t, 3, float64(r.Kinds[0].Calls)/float64(r.Kinds[1].Calls), 0.4)
 		assert.InDelta(t, 1000, len(calls)-total, 150)
 		assert.InDelta(t, 1, r.Kinds[0].P50Ms, 0.1)
+		require.Len(t, r.Classes, 1)
+		assert.Equal(t, total, r.Classes[0].Calls)
 		assert.Greater(t, r.Kinds[0].P99Ms, 900.0, "a quarter of the calls were due during the stall")
 		assert.InDelta(t, 1000, r.Kinds[0].MaxMs, 10)
 
@@ -137,6 +139,9 @@
 		Duration: 2 * time.Second, Seed: 3, Records: true, Customers: []string{"opticians"},
 	}
 	require.Len(t, o.Kinds, 3)
+	classes, ofKind := classReports(o.Kinds)
+	require.Len(t, classes, 2)
+	assert.Equal(t, []string{"class urgent", "class urgent", "class ordinary"}, []string{ofKind[0].Name, ofKind[1].Name, ofKind[2].Name})
 	for _, u := range service.Upstreams {
 		o.Upstreams = append(o.Upstreams, u.Address)
 	}
--- a/internal/load/options.go
+++ b/internal/load/options.go
@@ -142,7 +142,7 @@
 			method = r.Methods[0]
 		}
 		out = append(out, Kind{
-			Name: r.Name, Method: method, Path: strings.TrimSuffix(r.PathPrefix, "/") + "/{n}", Share: 1,
+			Name: r.Name, Class: r.Class, Method: method, Path: strings.TrimSuffix(r.PathPrefix, "/") + "/{n}", Share: 1,
 			Idempotent: r.Idempotent(method),
 		})
 	}
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -21,6 +21,7 @@
 	Seconds   float64       `json:"seconds"` // from the first call to the last response
 	NotSent   int           `json:"notSent"` // too many were open
 	Kinds     []*KindReport `json:"kinds"`
+	Classes   []*KindReport `json:"classes"` // the same calls by request class
 	Records   *Records      `json:"records,omitempty"`
 	RecordsOf string        `json:"recordsOf,omitempty"` // why there are none
 }
@@ -56,9 +57,9 @@
 
 const maxExamples = 10
 
-func newKindReport(k Kind) *KindReport {
+func newKindReport(name, class string) *KindReport {
 	return &KindReport{
-		Name: k.Name, Class: k.Class, Reasons: map[string]int{},
+		Name: name, Class: class, Reasons: map[string]int{},
 		latency: hdrhistogram.New(1, int64(time.Hour/time.Microsecond), 3),
 	}
 }
@@ -85,6 +86,23 @@
 	}
 }
 
+// classReports returns one report per class, in the order of the kinds, and the report of each kind.
+func classReports(kinds []Kind) (list []*KindReport, ofKind []*KindReport) {
+	byName := map[string]*KindReport{}
+	for _, k := range kinds {
+		name := "class " + k.Class
+		if k.Class == "" {
+			name = "class by route"
+		}
+		if byName[name] == nil {
+			byName[name] = newKindReport(name, k.Class)
+			list = append(list, byName[name])
+		}
+		ofKind = append(ofKind, byName[name])
+	}
+	return list, ofKind
+}
+
 func (k *KindReport) finish() {
 	ms := func(q float64) float64 { return float64(k.latency.ValueAtQuantile(q)) / 1000 }
 	k.P50Ms, k.P99Ms, k.P999Ms, k.MaxMs = ms(50), ms(99), ms(99.9), float64(k.latency.Max())/1000
@@ -96,7 +114,7 @@
 	fmt.Fprintf(&b, "through %s: %g calls/s offered, %.1f s, seed %d\n", r.Through, r.Rate, r.Seconds, r.Seed)
 	fmt.Fprintf(&b, "%-16s %8s %8s %8s %8s %8s %8s %9s %9s %9s\n", "kind", "calls", "done", "failed", "not run", "unknown",
 		"wrong", "p50 ms", "p99 ms", "p99.9 ms")
-	for _, k := range r.Kinds {
+	for _, k := range append(r.Kinds[:len(r.Kinds):len(r.Kinds)], r.Classes...) {
 		fmt.Fprintf(&b, "%-16s %8d %8d %8d %8d %8d %8d %9.2f %9.2f %9.2f\n", k.Name, k.Calls, k.Done, k.Failed, k.NotRun,
 			k.Unknown, k.Wrong, k.P50Ms, k.P99Ms, k.P999Ms)
 	}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -139,14 +139,17 @@
 		out.Through = "direct calls to upstreams"
 	}
 	for _, k := range r.o.Kinds {
-		out.Kinds = append(out.Kinds, newKindReport(k))
+		out.Kinds = append(out.Kinds, newKindReport(k.Name, k.Class))
 	}
+	var ofKind []*KindReport
+	out.Classes, ofKind = classReports(r.o.Kinds)
 	for _, c := range calls {
 		if !c.warm {
 			out.Kinds[c.kind].add(c)
+			ofKind[c.kind].add(c)
 		}
 	}
-	for _, k := range out.Kinds {
+	for _, k := range append(out.Kinds[:len(out.Kinds):len(out.Kinds)], out.Classes...) {
 		k.finish()
 	}
 	if r.o.Records {
