Keep a replaced host from splitting the confirmation

Cause: an entry that starts after a replacement knows only the new roster. With an odd roster, a majority of it need not intersect with a majority of the old one, which other entries still use until they read the list.

--- /dev/null
+++ b/internal/membership/replacement_test.go
@@ -0,0 +1,56 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// replaceHost replaces the last of n hosts by a new one, which starts with the new list. Only half of the others have
+// read it, and they lose contact with the other half.
+func replaceHost(n int, cfg Config) (clash string, confirmedLater int) {
+	s := newSim(n, 1, cfg)
+	s.run(cfg.RosterHold + 6*time.Second)
+	old := s.hosts
+	s.hosts = append(append([]Host{}, old[:n-1]...), Host{Name: "new", DataCentre: "east-1"})
+	replaced := s.nodes[n-1]
+	s.restart(n - 1) // takes the name from the list
+	s.nodes = append(s.nodes, s.nodes[n-1])
+	s.nodes[n-1] = replaced
+	side := func(i int) bool { return i == n || i > 0 && i <= (n-1)/2 }
+	for i := range s.nodes {
+		if side(i) && i != n {
+			s.nodes[i].table.SetRoster(s.now, s.hosts)
+		}
+		for j := range s.nodes {
+			if side(i) != side(j) {
+				s.cut[[2]int{i, j}] = true
+			}
+		}
+	}
+	s.run(20 * time.Second)
+	clash = s.clash
+	clear(s.cut)
+	for _, node := range s.nodes[:n-1] {
+		node.table.SetRoster(s.now, s.hosts)
+	}
+	s.nodes = append(s.nodes[:n-1], s.nodes[n])
+	s.run(cfg.RosterHold + 10*time.Second)
+	return clash, s.confirmedNodes()
+}
+
+// Guards against two owners of a cold upstream while a host is replaced: the new host doesn't know the old list, and a
+// majority of the new one need not intersect with a majority of the old one. Guards as well against a rule that keeps
+// the new host from confirming its view for good.
+func TestReplacedHostDoesNotConfirmASecondView(t *testing.T) {
+	for _, n := range []int{3, 5, 7} {
+		clash, confirmed := replaceHost(n, DefaultConfig())
+		require.Empty(t, clash, "%d hosts", n)
+		require.Equal(t, n, confirmed, "%d hosts", n)
+	}
+	broken := DefaultConfig()
+	broken.RosterHold = 0
+	clash, _ := replaceHost(3, broken)
+	require.NotEmpty(t, clash, "the schedule provokes the clash when no earlier roster counts")
+}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -46,6 +46,18 @@
 type electorate struct {
 	hosts map[string]bool
 	until time.Time // zero for the current one
+	// strictUntil is the time until which one vote more than a majority is needed; zero for later rosters.
+	strictUntil time.Time
+}
+
+// need returns the number of hosts that confirm a view. Majorities of two odd rosters that differ by a replaced host
+// need not intersect. An entry that has just started doesn't know the earlier roster, which other entries may still use.
+func (v electorate) need(now time.Time) int {
+	n := len(v.hosts)
+	if n > 1 && n%2 == 1 && now.Before(v.strictUntil) {
+		return n/2 + 2
+	}
+	return n/2 + 1
 }
 
 type sentBeat struct {
@@ -98,7 +110,8 @@
 
 // SetRoster sets the entry hosts of the platform's list. A list without hosts of the own data centre is ignored, since
 // it would make the entry a majority on its own. For Config.RosterHold, a view must be confirmed by a majority of the
-// replaced roster as well: with three hosts, the majorities before and after a replacement need not intersect.
+// replaced roster as well: with three hosts, the majorities before and after a replacement need not intersect. For the
+// same time after the first roster, an odd one must confirm a view by one vote more than a majority.
 func (t *Table) SetRoster(now time.Time, hosts []Host) {
 	self := Host{Name: t.self.Host, DataCentre: t.self.DataCentre, PeerAddress: t.self.PeerAddress}
 	roster := map[string]Host{self.Name: self}
@@ -128,7 +141,11 @@
 	if last >= 0 {
 		t.voters[last].until = now.Add(t.cfg.RosterHold)
 	}
-	t.voters = append(t.voters, electorate{hosts: voters})
+	next := electorate{hosts: voters}
+	if last < 0 {
+		next.strictUntil = now.Add(t.cfg.RosterHold)
+	}
+	t.voters = append(t.voters, next)
 	if len(t.voters) > maxRosters {
 		t.voters = t.voters[1:]
 	}
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -75,7 +75,7 @@
 
 // confirmedBy returns until when a majority of one roster confirms the view; zero when none does. A host counts once.
 func (t *Table) confirmedBy(now time.Time, v electorate) time.Time {
-	need := len(v.hosts)/2 + 1
+	need := v.need(now)
 	var ends []time.Time
 	if v.hosts[t.self.Host] {
 		ends = append(ends, now.Add(t.cfg.OwnFresh))
