--- a/cmd/boragehinge/apply.go
+++ b/cmd/boragehinge/apply.go
@@ -215,7 +215,7 @@
 		r.Explanation = fmt.Sprintf("not applied: the log holds change %s already", r.ChangeID)
 	default:
 		r.Explanation = fmt.Sprintf("not applied: %s was first with version %d (change %s), made after version %d too; make the "+
-			"change again from version %d", nameOr(d.Winner.Operator), d.Winner.Offset, d.Winner.ChangeID, r.Base, d.Winner.Offset)
+			"change again from version %d, which boragehinge show prints", nameOr(d.Winner.Operator), d.Winner.Offset, d.Winner.ChangeID, r.Base, d.Winner.Offset)
 	}
 	return r, exitLost
 }
--- a/cmd/boragehinge/apply_test.go
+++ b/cmd/boragehinge/apply_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -245,3 +246,23 @@
 	require.NoError(t, err)
 	assert.Equal(t, "unchanged", again.State)
 }
+
+// Guards against a shown inventory that cannot be applied again or differs from the one in the log.
+func TestShowPrintsWhatApplyTakes(t *testing.T) {
+	b := newBench(t)
+	_, err := run("", "show", "--platform-url", b.flags[3])
+	assert.ErrorContains(t, err, "no configuration yet")
+	for _, example := range []string{"../../examples/yeux-clairs.yaml", "../../examples/kitami-hokusei-move.yaml"} {
+		b.flags[1] = example
+		applied, err := b.apply(t)
+		require.NoError(t, err)
+		out, err := run("", "show", "--platform-url", b.flags[3])
+		require.NoError(t, err)
+		assert.Contains(t, out, "with --base "+strconv.FormatInt(applied.Version, 10))
+		require.NoError(t, os.WriteFile(b.file, []byte(out), 0o600))
+		b.flags[1] = b.file
+		again, err := b.apply(t)
+		require.NoError(t, err)
+		assert.Equal(t, "unchanged", again.State, again.Changes)
+	}
+}
--- a/cmd/boragehinge/commands.go
+++ b/cmd/boragehinge/commands.go
@@ -12,6 +12,7 @@
 	newHistoryCommand,
 	newLeaveCommand,
 	newLoadCommand,
+	newShowCommand,
 	newSimulateCommand,
 	newStatusCommand,
 	newVersionCommand,
