--- a/cmd/boragehinge/dev_test.go
+++ b/cmd/boragehinge/dev_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"os"
 	"path/filepath"
@@ -19,8 +20,8 @@
 	"boragehinge.example/boragehinge/internal/operators"
 )
 
-// devSample is an inventory on addresses that no other test uses.
-const devSample = `
+// devSample is an inventory on addresses that no other test process uses.
+var devSample = strings.ReplaceAll(`
 schemaVersion: 1
 sites:
   - name: east
@@ -39,7 +40,13 @@
       - {name: b-1, address: "127.0.52.1:9102", dataCentre: e-1, version: "1"}
       - {name: b-2, address: "127.0.52.2:9102", dataCentre: e-2, version: "1"}
       - {name: b-3, address: "127.0.52.3:9102", dataCentre: e-3, version: "1"}
-`
+`, "127.0.52.", network())
+
+// network returns the first three bytes of loopback addresses that no other test process uses.
+func network() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.", 64+pid%128, pid/128%256)
+}
 
 // lockedBuffer is a buffer that may be read while a command writes.
 type lockedBuffer struct {
--- a/cmd/boragehinge/load_test.go
+++ b/cmd/boragehinge/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -14,13 +15,13 @@
 // Guards against a run that reports success although a guarantee was broken, and flags that don't reach the run.
 func TestLoadCommand(t *testing.T) {
 	var up []*emulator.Server
-	for _, address := range []string{"127.0.54.1:9104", "127.0.54.2:9104"} {
+	for _, address := range []string{network() + "101:9104", network() + "102:9104"} {
 		s := emulator.New(emulator.Config{Name: address, Seed: 1})
 		require.NoError(t, s.Start(address))
 		t.Cleanup(s.Close)
 		up = append(up, s)
 	}
-	file := writeFile(t, `
+	file := writeFile(t, strings.ReplaceAll(`
 schemaVersion: 1
 sites: [{name: s, dataCentres: [{name: e-1}]}]
 classes: [{name: urgent, priority: 0}]
@@ -29,9 +30,9 @@
     match: {pathPrefix: /bench}
     defaultClass: urgent
     upstreams:
-      - {name: b-1, address: "127.0.54.1:9104", dataCentre: e-1, version: "1"}
-      - {name: b-2, address: "127.0.54.2:9104", dataCentre: e-1, version: "1"}
-`)
+      - {name: b-1, address: "127.0.54.101:9104", dataCentre: e-1, version: "1"}
+      - {name: b-2, address: "127.0.54.102:9104", dataCentre: e-1, version: "1"}
+`, "127.0.54.", network()))
 	out, err := run("", "load", "--direct-only", "--inventory", file, "--rate", "200", "--calls", "20", "--warm-up", "0s", "-o", "json",
 		"--call", "name=orders,method=POST,path=/bench/{n},idempotent=false")
 	require.NoError(t, err, out)
--- a/internal/dev/dev_test.go
+++ b/internal/dev/dev_test.go
@@ -18,8 +18,8 @@
 	"boragehinge.example/boragehinge/inventory"
 )
 
-// small is an inventory on addresses that no other test uses. Tests of several packages run at the same time.
-const small = `
+// small is an inventory on addresses that no other test process uses.
+var small = strings.ReplaceAll(`
 schemaVersion: 1
 sites:
   - name: east
@@ -46,7 +46,13 @@
     upstreams:
       - {name: p-1, address: "127.0.51.11:9101", dataCentre: e-1, version: "1"}
       - {name: p-2, address: "127.0.51.12:9101", dataCentre: e-2, version: "1"}
-`
+`, "127.0.51.", network())
+
+// network returns the first three bytes of loopback addresses that no other test process uses.
+func network() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.", 64+pid%128, pid/128%256)
+}
 
 func startSmall(t *testing.T) *Installation {
 	inv, findings := inventory.Check("small.yaml", []byte(small), time.Now())
@@ -179,7 +185,7 @@
 	_, err = port.Leave(t.Context(), operators.Leaving{DataCentre: "e-9", Reason: "smoke"})
 	assert.ErrorContains(t, err, "no such data centre")
 
-	more := strings.Replace(small, "  - name: photos", `      - {name: b-4, address: "127.0.51.4:9101", dataCentre: e-1, version: "1"}`+"\n  - name: photos", 1)
+	more := strings.Replace(small, "  - name: photos", `      - {name: b-4, address: "`+network()+`4:9101", dataCentre: e-1, version: "1"}`+"\n  - name: photos", 1)
 	inv, findings := inventory.Check("more.yaml", []byte(more), time.Now())
 	require.Empty(t, findings)
 	require.NoError(t, in.upstreams.ensure(inv))
@@ -205,7 +211,7 @@
 
 // Guards against an installation that starts in part, or leaves ports open after it failed.
 func TestStartReportsWhatCannotBeEmulated(t *testing.T) {
-	far := strings.NewReplacer("127.0.51.1:", "192.0.2.1:", "127.0.51.12:", "192.0.2.2:").Replace(small)
+	far := strings.NewReplacer(network()+"1:", "192.0.2.1:", network()+"12:", "192.0.2.2:").Replace(small)
 	inv, findings := inventory.Check("far.yaml", []byte(far), time.Now())
 	require.Empty(t, findings)
 	_, err := Start(t.Context(), Options{Inventory: inv})
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -118,12 +118,18 @@
 	}
 }
 
+// network returns the first three bytes of loopback addresses that no other test process uses.
+func network() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.", 64+pid%128, pid/128%256)
+}
+
 // Guards against a tool that measures something else than the installation: all kinds through entries and direct, with
 // whole responses, and every order run exactly once.
 func TestAgainstAnInstallation(t *testing.T) {
 	text, err := os.ReadFile("../../examples/yeux-clairs.yaml")
 	require.NoError(t, err)
-	inv, findings := inventory.Check("", []byte(strings.NewReplacer("127.0.1.", "127.0.53.").Replace(string(text))), time.Now())
+	inv, findings := inventory.Check("", []byte(strings.NewReplacer("127.0.1.", network()).Replace(string(text))), time.Now())
 	require.Empty(t, findings)
 	in, err := dev.Start(t.Context(), dev.Options{Inventory: inv, Seed: 1})
 	require.NoError(t, err)
