--- a/entry/entry.go
+++ b/entry/entry.go
@@ -61,6 +61,8 @@
 	windows   windows
 	port      *operators.Port // nil with a handler of WithOperators
 	records   recordRequests
+	cold      coldMemory
+	forwards  atomic.Int64 // forwarded calls in progress
 
 	state      atomic.Int32 // lifecycle
 	stopBy     atomic.Int64 // end of the planned stop, Unix nanoseconds
--- a/entry/handlers.go
+++ b/entry/handlers.go
@@ -38,6 +38,8 @@
 			mux.ServeHTTP(w, r)
 			return
 		}
+		e.forwards.Add(1)
+		defer e.forwards.Add(-1)
 		if !e.refuseUnready(w) {
 			e.proxy.ServeForward(w, r)
 		}
--- a/entry/moves.go
+++ b/entry/moves.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -182,7 +183,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	all := append(own, m.samples[service]...)
+	all := slices.Concat(own, m.samples[service])
 	delete(m.samples, service)
 	m.demand[service] += demandMemory * (busySeconds(all)/moveTick.Seconds() - m.demand[service])
 	return all
--- /dev/null
+++ b/entry/moves_test.go
@@ -0,0 +1,46 @@
+package entry
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"boragehinge.example/boragehinge/internal/emulator"
+	"boragehinge.example/boragehinge/internal/rollout"
+)
+
+// Guards against a bad version that keeps its traffic at some entries after another one has judged it, and against a
+// version move that never starts between processes.
+func TestBadVersionIsTakenBackEverywhere(t *testing.T) {
+	w := newWorld(t)
+	w.upstream("old", emulator.Config{Slots: 4})
+	bad := w.upstream("new", emulator.Config{Slots: 4})
+	require.NoError(t, bad.SetFaults(emulator.Faults{FailRoutes: map[string]float64{"/": 1}}))
+	rule := fmt.Sprintf("rules:\n  versions: [{service: orders, from: \"1\", to: \"2\", by: %q, startPercent: 25}]\n",
+		time.Now().Add(time.Hour).UTC().Format(time.RFC3339))
+	w.apply(w.inventory(rule, target{"old", "dc-1", "1"}, target{"new", "dc-1", "2"}))
+	list := []*runningEntry{w.entry("e1", "dc-1"), w.entry("e2", "dc-1")}
+	w.settled(list...)
+	l := w.startLoad(3, func(i int) *runningEntry { return list[i%2] })
+	for _, e := range list {
+		w.eventually("the move is taken back at "+e.host, func() bool {
+			s := e.moves.statuses()
+			return len(s) == 1 && s[0].State == rollout.RolledBack
+		})
+	}
+	failures := l.stop()
+	require.NotEmpty(t, failures, "the new version got its share")
+	for _, a := range failures {
+		require.Equal(t, http.StatusInternalServerError, a.status, "%+v", a)
+	}
+	before, _ := bad.Totals()
+	for i := range 100 {
+		w.call(list[i%2], http.MethodGet, "/x", nil).assertDone(t)
+	}
+	after, _ := bad.Totals()
+	assert.Equal(t, before.Begun, after.Begun)
+}
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -41,18 +41,20 @@
 	calls     atomic.Int64 // granted calls that have not ended
 	lostAt    atomic.Int64 // when the ownership was lost, Unix nanoseconds; 0 while it is owned
 	digest    atomic.Pointer[figures]
+	toldCold  bool // the neighbours know of cold upstreams; used by housekeeping only
 
-	mu        sync.Mutex
-	pool      *dispatch.Pool
-	conf      *configuration // that the spec was made from
-	closed    bool           // no call is taken any more
-	takenOver time.Time      // when the ownership began; calls of a previous owner may have run then
-	nextID    uint64
-	waiting   map[uint64]chan<- decision
-	granted   map[uint64]*grantedCall
-	versions  map[string]string // upstream to version
-	address   map[string]string
-	stats     map[statKey]*rollout.Sample
+	mu         sync.Mutex
+	pool       *dispatch.Pool
+	conf       *configuration // that the spec was made from
+	closed     bool           // no call is taken any more
+	takenOver  time.Time      // when the ownership began; calls of a previous owner may have run then
+	configured time.Time      // when the last spec was given
+	nextID     uint64
+	waiting    map[uint64]chan<- decision
+	granted    map[uint64]*grantedCall
+	versions   map[string]string // upstream to version
+	address    map[string]string
+	stats      map[statKey]*rollout.Sample
 }
 
 // decision is what a waiting call gets.
@@ -79,11 +81,12 @@
 		connections = min(connections, u.Connections)
 	}
 	o := &ownedPool{
-		e: e, id: p.ID, key: p.ID.String(), stop: cancel, takenOver: time.Now(),
+		e: e, id: p.ID, key: p.ID.String(), stop: cancel, takenOver: time.Now(), configured: time.Now(),
 		waiting: map[uint64]chan<- decision{}, granted: map[uint64]*grantedCall{}, stats: map[statKey]*rollout.Sample{},
 	}
 	o.transport = transport.New(transport.Config{MaxConns: connections, Dial: e.countingDial(p.ID.Service)})
 	spec := e.poolSpec(conf, p)
+	o.e.cold.mark(time.Now(), p.ID, &spec)
 	spec.TakenOver = o.takenOver
 	o.pool = dispatch.New(spec, rand.New(rand.NewSource(rand.Int63()))) //nolint:gosec // spreads probes only
 	o.remember(conf, p)
@@ -114,6 +117,10 @@
 	spec := o.e.poolSpec(conf, p)
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if o.takenOver.After(o.configured) {
+		o.e.cold.mark(time.Now(), p.ID, &spec)
+	}
+	o.configured = time.Now()
 	spec.TakenOver = o.takenOver
 	o.act(o.pool.Configure(time.Now(), spec))
 	o.remember(conf, p)
--- a/entry/records.go
+++ b/entry/records.go
@@ -43,6 +43,7 @@
 		RecordsRequest: e.answerRecords,
 		Records:        e.takeRecords,
 		Statistics:     func(_ membership.Member, s wire.Statistics) { e.moves.takeStatistics(s) },
+		ColdUpstreams:  func(_ membership.Member, c wire.ColdUpstreams) { e.cold.take(time.Now(), c) },
 		Fact:           e.takeFact,
 		NewerVersion:   func(from membership.Member, _ int) { e.requestRecords(from.Incarnation) },
 		PoolSummaries:  func(_ membership.Member, list []wire.PoolSummary) { e.takeSummaries(list) },
--- a/entry/run.go
+++ b/entry/run.go
@@ -35,6 +35,7 @@
 	start(e.moves.run)
 	start(e.housekeeping)
 	start(e.flushDecisions)
+	start(e.followWindows)
 	start(e.toPeers.Run)
 	if e.port != nil {
 		start(e.port.Run)
@@ -52,9 +53,7 @@
 	e.state.Store(stopped)
 	stopNode()
 	membership.Wait()
-	_ = e.callers.Close()
-	_ = e.peers.Close()
-	_ = e.operators.Close()
+	e.closeServers(cut)
 	stop()
 	e.background.Wait()
 	e.endPools()
@@ -81,6 +80,30 @@
 	return failed
 }
 
+const (
+	// lateForwards is left to forwards that were on their way when the goodbye reached their sender.
+	lateForwards = 2 * time.Second
+	// cancelTime is left to handlers whose connections were closed.
+	cancelTime = 2 * time.Second
+)
+
+// closeServers closes the ports and waits for their handlers.
+func (e *Entry) closeServers(cut context.Context) {
+	ctx, cancel := context.WithTimeout(cut, lateForwards)
+	defer cancel()
+	_ = e.peers.Stop(ctx, 0)
+	servers := []*proxy.Server{e.callers, e.peers, e.operators}
+	for _, s := range servers {
+		_ = s.Close()
+	}
+	end := time.Now().Add(cancelTime)
+	for _, s := range servers {
+		for s.Running() > 0 && time.Now().Before(end) {
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
 // endPools ends all pools and waits for them.
 func (e *Entry) endPools() {
 	w := &e.ownership
@@ -136,10 +159,10 @@
 		if !e.registrar.adopted.Load() {
 			e.registrar.adopt(ctx)
 		}
-		e.refreshWindows(ctx)
 		e.registrar.registry.Expire(time.Now())
 		e.updateMetrics()
 		e.retryLeaving(ctx)
+		e.tellCold(time.Now())
 		select {
 		case <-ctx.Done():
 			return
@@ -195,7 +218,7 @@
 	return e.registrar.handOver(ctx)
 }
 
-// waitForCalls waits for calls of own pools, which other entries forwarded, and for forwards that these registered here.
+// waitForCalls waits for the calls that other entries forwarded.
 func (e *Entry) waitForCalls(ctx context.Context) error {
 	ticker := time.NewTicker(controlTick)
 	defer ticker.Stop()
@@ -209,11 +232,7 @@
 	return nil
 }
 
-// runningCalls returns the calls of callers and the granted calls of pools.
+// runningCalls returns the calls of callers and those that other entries forwarded.
 func (e *Entry) runningCalls() int {
-	n := e.callers.Running()
-	for _, o := range e.ownership.all() {
-		n += int(o.calls.Load())
-	}
-	return n
+	return e.callers.Running() + int(e.forwards.Load())
 }
--- a/entry/windows.go
+++ b/entry/windows.go
@@ -36,6 +36,20 @@
 	return k.window + int64(now.Sub(k.at)/idempotency.DefaultWindow), true
 }
 
+// followWindows keeps the windows of the members known until ctx ends.
+func (e *Entry) followWindows(ctx context.Context) {
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	for {
+		e.refreshWindows(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 // refreshWindows asks the members whose windows are unknown or old.
 func (e *Entry) refreshWindows(ctx context.Context) {
 	now := time.Now()
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -103,7 +103,7 @@
 		PlatformUrl: w.web.URL, InsecureLoopback: true, LogLevel: "info", DecisionLogPerSecond: 100, MaxHeaderBytes: 65536,
 		MaxBodyBytes: 1 << 30, AddressKeepSeconds: 1, StopTimeoutSeconds: 60,
 	}
-	var out io.Writer = io.Discard
+	out := io.Discard
 	if os.Getenv("ENTRY_TEST_LOG") != "" {
 		out = os.Stderr
 	}
--- a/internal/cluster/core.go
+++ b/internal/cluster/core.go
@@ -18,6 +18,7 @@
 	RecordsRequest func(from membership.Member, r wire.RecordsRequest)
 	Records        func(from membership.Member, r wire.Records)
 	Statistics     func(from membership.Member, s wire.Statistics)
+	ColdUpstreams  func(from membership.Member, c wire.ColdUpstreams)
 	// Fact receives each fact that is new here, own ones included.
 	Fact func(e wire.Envelope)
 	// NewerVersion is called with each heartbeat or digest that reports a configuration version above the own one. The
@@ -154,6 +155,10 @@
 		if call := c.calls.Records; call != nil {
 			c.after = append(c.after, func() { call(from, *e.Records) })
 		}
+	case wire.EnvelopeTypeColdUpstreams:
+		if call := c.calls.ColdUpstreams; call != nil {
+			c.after = append(c.after, func() { call(from, *e.ColdUpstreams) })
+		}
 	case wire.EnvelopeTypeStatistics:
 		if call := c.calls.Statistics; call != nil {
 			c.after = append(c.after, func() { call(from, *e.Statistics) })
--- a/internal/dispatch/coldstart.go
+++ b/internal/dispatch/coldstart.go
@@ -76,6 +76,9 @@
 // settle keeps cold upstreams free of calls until the given time, after the pool was taken over.
 func (p *Pool) settle(until time.Time) {
 	for _, u := range p.upstreams {
+		if u.spec.Cold && !u.cold {
+			p.becomeCold(u, "cold at the previous owner")
+		}
 		u.settleUntil = until
 		p.relink(u)
 	}
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -90,7 +90,7 @@
 	Version string
 	Slots   int
 	Leaving bool // no new work; running calls finish
-	Cold    bool // known to be in cold start when it first appears, for example after the data centre's return
+	Cold    bool // known to be in cold start when it first appears or the pool is taken over
 }
 
 // ClassSpec describes one request class.
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -2,6 +2,22 @@
 
 package wire
 
+// The cold upstreams of a pool, from its owner to the entries of its data centre
+// each second while there are any, so that the next owner knows them.
+type ColdUpstreams struct {
+	// DataCentre corresponds to the JSON schema field "dataCentre".
+	DataCentre string `json:"dataCentre" yaml:"dataCentre"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service" yaml:"service"`
+
+	// Shard corresponds to the JSON schema field "shard".
+	Shard int `json:"shard" yaml:"shard"`
+
+	// Upstreams corresponds to the JSON schema field "upstreams".
+	Upstreams []string `json:"upstreams" yaml:"upstreams"`
+}
+
 type Digest struct {
 	// DataCentre corresponds to the JSON schema field "dataCentre".
 	DataCentre string `json:"dataCentre" yaml:"dataCentre"`
@@ -35,6 +51,9 @@
 
 // Frame on a peer link. Exactly one payload field is set, the one that type names.
 type Envelope struct {
+	// ColdUpstreams corresponds to the JSON schema field "coldUpstreams".
+	ColdUpstreams *ColdUpstreams `json:"coldUpstreams,omitempty,omitzero" yaml:"coldUpstreams,omitempty"`
+
 	// Digest corresponds to the JSON schema field "digest".
 	Digest *Digest `json:"digest,omitempty,omitzero" yaml:"digest,omitempty"`
 
@@ -77,6 +96,7 @@
 
 type EnvelopeType string
 
+const EnvelopeTypeColdUpstreams EnvelopeType = "coldUpstreams"
 const EnvelopeTypeDigest EnvelopeType = "digest"
 const EnvelopeTypeGoodbye EnvelopeType = "goodbye"
 const EnvelopeTypeHeartbeat EnvelopeType = "heartbeat"
--- a/internal/wire/validate.go
+++ b/internal/wire/validate.go
@@ -47,6 +47,7 @@
 		EnvelopeTypeLeavingFact:    e.LeavingFact != nil,
 		EnvelopeTypePoisonFact:     e.PoisonFact != nil,
 		EnvelopeTypeStatistics:     e.Statistics != nil,
+		EnvelopeTypeColdUpstreams:  e.ColdUpstreams != nil,
 		EnvelopeTypeGoodbye:        e.Goodbye != nil,
 	}
 	if !payloads[e.Type] {
