Notice the return of the log at once

After a failed read, the follower started a long poll of 20 s, during which it reported the log as unreachable. Urgent leavings were therefore appended up to 20 s after the log's return.

--- a/entry/state.go
+++ b/entry/state.go
@@ -230,8 +230,11 @@
 		if _, logged := conf.view.Leaving[dc]; logged {
 			continue
 		}
-		_ = e.appendRecord(ctx, configlog.Record{Kind: configlog.KindLeaving, Leaving: &configlog.Leaving{
+		err := e.appendRecord(ctx, configlog.Record{Kind: configlog.KindLeaving, Leaving: &configlog.Leaving{
 			DataCentre: dc, Base: l.Base, Operator: l.Operator, Reason: l.Reason,
 		}})
+		if err != nil {
+			e.log.Warn().Err(err).Str("dataCentre", dc).Msg("leaving not appended")
+		}
 	}
 }
--- a/internal/configlog/follower.go
+++ b/internal/configlog/follower.go
@@ -303,10 +303,10 @@
 	return f.fold.Next() >= end
 }
 
-// pollWait shortens the long poll while the state isn't known to be current, and so that a due snapshot is written on
-// time. The caller holds mu.
+// pollWait shortens the long poll while the state isn't known to be current, after a failed read, since LogStatus would
+// report the failure until the poll ends, and so that a due snapshot is written on time. The caller holds mu.
 func (f *Follower) pollWait() time.Duration {
-	if !f.current {
+	if !f.current || f.logErr != nil {
 		return 0
 	}
 	if f.snapshotAt.IsZero() {
