--- a/entry/entry.go
+++ b/entry/entry.go
@@ -59,6 +59,7 @@
 	poison    *poisonGuard
 	moves     *moves
 	windows   windows
+	waits     waits
 	port      *operators.Port // nil with a handler of WithOperators
 	records   recordRequests
 	cold      coldMemory
--- a/entry/pools.go
+++ b/entry/pools.go
@@ -238,6 +238,9 @@
 	if !ok {
 		return
 	}
+	if _, ok := conf.snap.Pool(id); ok {
+		e.waits.observe(now, id, wait)
+	}
 	for _, version := range append([]string{""}, s.Versions...) {
 		if c := (*choosers)[chooserKey{id.Service, version}]; c != nil {
 			c.mu.Lock()
--- a/entry/state.go
+++ b/entry/state.go
@@ -173,6 +173,8 @@
 				c.Slots, c.InFlight = v.Slots, v.InFlight
 			}
 		}
+	} else {
+		e.waits.fill(now, p.ID, &c)
 	}
 	switch {
 	case conf.closed(p):
--- /dev/null
+++ b/entry/waits.go
@@ -0,0 +1,35 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"boragehinge.example/boragehinge/internal/dispatch"
+	"boragehinge.example/boragehinge/internal/operators"
+	"boragehinge.example/boragehinge/inventory"
+)
+
+// waits holds the last expected wait of each pool of another owner, for explanations. It is safe for concurrent use.
+type waits struct {
+	byPool sync.Map // inventory.PoolID to observedWait
+}
+
+type observedWait struct {
+	at   time.Time
+	wait time.Duration // of a call of the middle priority
+}
+
+func (w *waits) observe(now time.Time, id inventory.PoolID, wait time.Duration) {
+	w.byPool.Store(id, observedWait{now, wait})
+}
+
+// fill adds the wait of a pool to a candidate.
+func (w *waits) fill(now time.Time, id inventory.PoolID, c *operators.Candidate) {
+	v, ok := w.byPool.Load(id)
+	if !ok {
+		return
+	}
+	o := v.(observedWait)
+	c.Waits = []dispatch.WaitSummary{{Wait: o.wait}}
+	c.AgeOfFigures = now.Sub(o.at)
+}
--- a/internal/operators/explain.go
+++ b/internal/operators/explain.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"boragehinge.example/boragehinge/internal/dispatch"
 	"boragehinge.example/boragehinge/internal/rollout"
 	"boragehinge.example/boragehinge/internal/routing"
 	"boragehinge.example/boragehinge/inventory"
@@ -153,10 +154,11 @@
 			e.say("pools for version %s:", v)
 		}
 		tried := 0
-		for _, c := range list {
+		for i, c := range list {
 			if c.Excluded == "" {
 				tried++
 			}
+			list[i].ExpectedWaits = expectedWaits(c.Waits)
 			e.Sentences = append(e.Sentences, candidateText(c, e.Class, tried))
 		}
 		if tried == 0 {
@@ -166,6 +168,16 @@
 	}
 }
 
+func expectedWaits(waits []dispatch.WaitSummary) []ExpectedWait {
+	var out []ExpectedWait
+	for _, w := range waits {
+		out = append(out, ExpectedWait{
+			Class: w.Class, Priority: w.Priority, Queued: w.Queued, WaitMs: float64(w.Wait) / float64(time.Millisecond),
+		})
+	}
+	return out
+}
+
 func candidateText(c Candidate, class string, place int) string {
 	owner := "no entry owns it"
 	switch {
@@ -193,6 +205,10 @@
 			return fmt.Sprintf("expected wait %s with %d queued", w.Wait.Round(10*time.Microsecond), w.Queued)
 		}
 	}
+	if len(c.Waits) == 1 && c.Waits[0].Class == "" {
+		return fmt.Sprintf("expected wait %s for the middle priority, seen %s ago", c.Waits[0].Wait.Round(10*time.Microsecond),
+			c.AgeOfFigures.Round(time.Millisecond))
+	}
 	return "expected wait not known"
 }
 
--- a/internal/operators/port_test.go
+++ b/internal/operators/port_test.go
@@ -34,6 +34,8 @@
 	return []Candidate{
 		{Pool: service + "/te-1/0", OwnerHere: true, Slots: 3, InFlight: 2, WeightPercent: 75,
 			Waits: []dispatch.WaitSummary{{Class: "urgent", Wait: time.Millisecond, Queued: 4}}},
+		{Pool: service + "/te-3/0", Owner: "c", Delay: time.Millisecond, AgeOfFigures: time.Second, WeightPercent: 25,
+			Waits: []dispatch.WaitSummary{{Wait: 2 * time.Millisecond}}},
 		{Pool: service + "/te-2/0", Owner: "b", Excluded: "no upstream of version " + version},
 	}
 }
@@ -187,16 +189,18 @@
 	assert.Equal(t, "lookups", e.Route)
 	assert.Equal(t, "urgent", e.Class)
 	assert.True(t, e.Idempotent)
+	assert.Equal(t, []ExpectedWait{{Class: "urgent", Queued: 4, WaitMs: 1}}, e.Pools[0].ExpectedWaits)
 	text := strings.Join(e.Sentences, "\n")
 	assert.Contains(t, text, "customer workbenches has weight 4 and moves up 1")
 	assert.Contains(t, text, "pool bench-orders/te-1/0 is choice 1: owned by this entry, expected wait 1ms with 4 queued, 2 of 3 slots in use, 75 % of the calls")
+	assert.Contains(t, text, "pool bench-orders/te-3/0 is choice 2: owned by entry c, expected wait 2ms for the middle priority, seen 1s ago, 1ms away, 25 %")
 	assert.Contains(t, text, "pool bench-orders/te-2/0 is not tried")
 
 	s.state.Moves = []rollout.Status{{Service: "bench-orders", Move: "spring", From: "4.1", To: "4.2", State: rollout.InProgress, Percent: 100}}
 	assert.Equal(t, "4.2", get("path=/bench/x&requestId=r1").Version)
 	e = get("path=/bench/x&method=post")
 	assert.Contains(t, strings.Join(e.Sentences, "\n"), "version 4.2 for 100 % of the calls and 4.1 for the others")
-	assert.Len(t, e.Pools, 4)
+	assert.Len(t, e.Pools, 6)
 	assert.False(t, e.Idempotent)
 	s.state.Moves[0].State = rollout.RolledBack
 	assert.Equal(t, "4.1", get("path=/bench/x&requestId=r1").Version)
--- a/internal/operators/source.go
+++ b/internal/operators/source.go
@@ -109,17 +109,28 @@
 
 // Candidate is a pool that may serve a call.
 type Candidate struct {
-	Pool          string                 `json:"pool"`
-	DataCentre    string                 `json:"dataCentre"`
-	Owner         string                 `json:"owner,omitempty"`        // host name; empty when no entry owns the pool
-	OwnerHere     bool                   `json:"ownerHere,omitempty"`    // this entry is the owner
-	Delay         time.Duration          `json:"delayNs"`                // one way, from this entry's data centre
-	Waits         []dispatch.WaitSummary `json:"waits,omitempty"`        // by priority; empty when nothing is known yet
-	Slots         int                    `json:"slots"`                  // usable now, for the version
-	InFlight      int                    `json:"inFlight"`               // for the version
-	WeightPercent float64                `json:"weightPercent"`          // part of the calls that this entry sends to it
-	Excluded      string                 `json:"excluded,omitempty"`     // why the pool gets no such calls
-	AgeOfFigures  time.Duration          `json:"ageOfFigures,omitempty"` // of a pool of another owner
+	Pool       string        `json:"pool"`
+	DataCentre string        `json:"dataCentre"`
+	Owner      string        `json:"owner,omitempty"`     // host name; empty when no entry owns the pool
+	OwnerHere  bool          `json:"ownerHere,omitempty"` // this entry is the owner
+	Delay      time.Duration `json:"delayNs"`             // one way, from this entry's data centre
+	// Waits are the expected waits by priority. Of a pool of another owner only that of the middle priority is known, if
+	// any; its Class is empty, and it was seen AgeOfFigures ago.
+	Waits         []dispatch.WaitSummary `json:"-"`
+	ExpectedWaits []ExpectedWait         `json:"waits,omitempty"` // Waits for the answer; set by this package
+	AgeOfFigures  time.Duration          `json:"ageOfFiguresNs,omitempty"`
+	Slots         int                    `json:"slots"`              // usable now, for the version
+	InFlight      int                    `json:"inFlight"`           // for the version
+	WeightPercent float64                `json:"weightPercent"`      // part of the calls that this entry sends to it
+	Excluded      string                 `json:"excluded,omitempty"` // why the pool gets no such calls
+}
+
+// ExpectedWait is the expected queueing time of a new call of a class.
+type ExpectedWait struct {
+	Class    string  `json:"class,omitempty"`
+	Priority int     `json:"priority"`
+	Queued   int     `json:"queued"`
+	WaitMs   float64 `json:"waitMs"`
 }
 
 // Leaving asks for the urgent leaving of a data centre.
