--- a/internal/operators/history.go
+++ b/internal/operators/history.go
@@ -35,6 +35,9 @@
 	defer h.mu.Unlock()
 	seen := make(map[string]bool, len(statements))
 	for _, s := range statements {
+		if s.Minor {
+			continue
+		}
 		seen[s.key()] = true
 		old, ok := h.last[s.key()]
 		if !ok || old.Change != s.Change || old.Phase != s.Phase {
--- a/internal/operators/port_test.go
+++ b/internal/operators/port_test.go
@@ -115,12 +115,13 @@
 	p.Observe()
 	begin := p.history.next
 	s.state.DataCentres[0].RunningCalls = 4
+	s.state.Upstreams = []Upstream{{UpstreamStatus: dispatch.UpstreamStatus{Name: "b", Health: dispatch.Healthy, Reason: "slow", ReportTrusted: true}}}
 	p.Observe()
-	assert.Equal(t, begin, p.history.next, "a count changed")
+	assert.Equal(t, begin, p.history.next, "a count changed, and an upstream is a little slow")
 	s.state.DataCentres[0].RunningCalls = 0
 	now = now.Add(time.Hour)
 	p.Observe()
-	s.state.DataCentres = nil
+	s.state.DataCentres, s.state.Upstreams = nil, nil
 	p.Observe()
 	var h History
 	require.NoError(t, json.Unmarshal(request(p, "GET", "/v1/history?format=json&since=30m&subject=te-2", "", "").Body.Bytes(), &h))
--- a/internal/operators/statement.go
+++ b/internal/operators/statement.go
@@ -38,6 +38,8 @@
 	WaitsFor string    `json:"waitsFor,omitempty"`
 	Evidence string    `json:"evidence,omitempty"`
 	Text     string    `json:"text"`
+	// Minor statements come and go with the load. They are not kept in the history, which they would fill.
+	Minor bool `json:"minor,omitempty"`
 
 	// Change differs when the statement says something new. It leaves out figures that change all the time, such as
 	// running calls, which would push everything else out of the history.
--- a/internal/operators/text.go
+++ b/internal/operators/text.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -224,7 +225,7 @@
 	return st
 }
 
-// upstreamStatement returns no statement for a healthy upstream.
+// upstreamStatement returns no statement for an upstream that takes all calls in its turn.
 func upstreamStatement(s State, u Upstream) (Statement, bool) {
 	st := Statement{
 		Kind: KindUpstream, Subject: u.Name, Phase: InProgress, Why: u.Reason, Since: u.Since,
@@ -251,8 +252,29 @@
 	case dispatch.Leaving:
 		leavingUpstream(&st, u, what)
 	default:
+		return limitedUpstream(st, u, what)
+	}
+	return st, true
+}
+
+// limitedUpstream is the statement on a healthy upstream that is not used like the others of its pool.
+func limitedUpstream(st Statement, u Upstream, what string) (Statement, bool) {
+	var why []string
+	if u.Reason != "" {
+		why = append(why, u.Reason)
+	}
+	if len(u.SlowRoutes) > 0 {
+		why = append(why, "gets no calls of the routes on which it is slow ("+strings.Join(slices.Sorted(slices.Values(u.SlowRoutes)), ", ")+")")
+	}
+	if !u.ReportTrusted {
+		why = append(why, "its load report contradicts what calls show and is not used")
+	}
+	if len(why) == 0 {
 		return Statement{}, false
 	}
+	st.Minor, st.Why, st.WaitsFor = true, strings.Join(why, "; "), "calls as fast as those of its peers"
+	st.Change = st.Why
+	st.Text = fmt.Sprintf("%s takes calls, but: %s", what, st.Why)
 	return st, true
 }
 
--- a/internal/operators/text_test.go
+++ b/internal/operators/text_test.go
@@ -30,6 +30,8 @@
 		Name: "b-2", Health: dispatch.Cold, Reason: "restart", Allowance: 1, Slots: 3}}
 	leaves := Upstream{Service: "bench", DataCentre: "te-1", UpstreamStatus: dispatch.UpstreamStatus{
 		Name: "b-3", Health: dispatch.Leaving, Reason: "by configuration", InFlight: 1}}
+	slow := Upstream{Service: "bench", DataCentre: "te-1", UpstreamStatus: dispatch.UpstreamStatus{
+		Name: "b-4", Health: dispatch.Healthy, Reason: "slower than its peers, used last", SlowRoutes: []string{"lookups", "orders"}}}
 	left := leaves
 	left.InFlight = 0
 	config := Configuration{Version: 7, Operator: "ana", Since: at, LowestVersion: 7}
@@ -78,6 +80,9 @@
 			"upstream b-2 of bench in te-1 is cold (restart); gets no work; waits for a confirmed view"},
 		{"upstream leaves", State{Upstreams: []Upstream{leaves}}, KindUpstream, InProgress,
 			"upstream b-3 of bench in te-1 is leaving, by configuration; gets no new calls; waits for 1 call that still runs there"},
+		{"upstream limited", State{Upstreams: []Upstream{slow}}, KindUpstream, InProgress,
+			"upstream b-4 of bench in te-1 takes calls, but: slower than its peers, used last; gets no calls of the routes on which " +
+				"it is slow (lookups, orders); its load report contradicts what calls show and is not used"},
 		{"upstream left", State{Upstreams: []Upstream{left}}, KindUpstream, Done,
 			"upstream b-3 of bench in te-1 is out of service, by configuration; no call runs there"},
 		{"member", State{Members: []Member{{Host: "a", DataCentre: "te-1", Leaving: true}}}, KindMember, InProgress,
