--- a/entry/configuration.go
+++ b/entry/configuration.go
@@ -40,6 +40,7 @@
 		e.log.Info().Int64("version", v.Version.Offset).Str("change", v.Version.ChangeID).Str("operator", v.Version.Operator).
 			Msg("configuration in force")
 		e.metrics.ConfigurationVersion.Set(float64(v.Version.Offset))
+		e.node.Refresh()
 	}
 	moves := map[[2]string]bool{}
 	for m := range v.Moves {
@@ -130,13 +131,19 @@
 	return e.proven()
 }
 
-// proven reports whether the configuration is proved to be current enough to serve with.
+// proven reports whether the configuration is proved to be current enough to serve with. What is proved once stays so;
+// calls then don't touch the follower's lock.
 func (e *Entry) proven() (bool, string) {
+	if e.ready.Load() {
+		return true, ""
+	}
 	if ok, why := e.follower.Ready(); !ok {
 		return false, why
 	}
 	if e.conf.Load() == nil {
 		return false, "the configuration is being built"
 	}
+	e.ready.Store(true)
+	e.log.Info().Int64("version", e.conf.Load().view.Version.Offset).Msg("ready")
 	return true, ""
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -62,8 +62,10 @@
 	port      *operators.Port // nil with a handler of WithOperators
 	records   recordRequests
 	cold      coldMemory
+	gauges    gauges
 	forwards  atomic.Int64 // forwarded calls in progress
 
+	ready      atomic.Bool  // the configuration was proved to be current
 	state      atomic.Int32 // lifecycle
 	stopBy     atomic.Int64 // end of the planned stop, Unix nanoseconds
 	wake       chan struct{}
--- a/entry/handover.go
+++ b/entry/handover.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/base64"
 	"fmt"
+	"maps"
 	"net/http"
 	"time"
 
@@ -171,5 +172,7 @@
 	r.homes.PlannedStop(now, m.From)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.moved[m.From], r.movedAt[m.From] = m.To, now
+	moved := maps.Clone(*r.moved.Load())
+	moved[m.From] = movedRecords{m.To, now}
+	r.moved.Store(&moved)
 }
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -1,6 +1,22 @@
 package entry
 
-import "time"
+import (
+	"time"
+
+	"boragehinge.example/boragehinge/internal/dispatch"
+)
+
+// gaugeKey names the gauges of the pools of a service in a data centre.
+type gaugeKey struct{ service, dataCentre string }
+
+// gaugeSums are the sums over the owned pools of a gaugeKey.
+type gaugeSums struct{ slots, inFlight, queued, cold, ejected, ejections int }
+
+// gauges remembers what the last update set. It belongs to the goroutine of housekeeping.
+type gauges struct {
+	set     map[gaugeKey]bool
+	ejected map[string]time.Time // by upstream, the end of the ejection that was counted
+}
 
 // updateMetrics sets the gauges.
 func (e *Entry) updateMetrics() {
@@ -12,16 +28,51 @@
 		confirmed = 1
 	}
 	e.metrics.ViewConfirmed.Set(confirmed)
-	type key struct{ service, dataCentre string }
-	type sum struct{ slots, inFlight, queued int }
-	sums := map[key]sum{}
+	sums := map[gaugeKey]gaugeSums{}
 	for _, o := range e.ownership.all() {
-		f := o.figures(now).summary
-		k := key{o.id.Service, o.id.DataCentre}
-		s := sums[k]
-		sums[k] = sum{s.slots + f.Slots, s.inFlight + f.InFlight, s.queued + f.Queued}
+		if o.lostAt.Load() == 0 {
+			key := gaugeKey{o.id.Service, o.id.DataCentre}
+			sums[key] = e.gauges.add(now, sums[key], o)
+		}
 	}
+	set := map[gaugeKey]bool{}
 	for k, s := range sums {
+		set[k] = true
 		e.metrics.Pool(k.service, k.dataCentre, s.slots, s.inFlight, s.queued)
+		e.metrics.Upstreams(k.service, k.dataCentre, s.cold, s.ejected)
+		e.metrics.Ejections(k.service, s.ejections)
+	}
+	for k := range e.gauges.set {
+		if !set[k] {
+			e.metrics.ForgetPool(k.service, k.dataCentre)
+		}
+	}
+	e.gauges.set = set
+}
+
+// add adds the figures of one pool.
+func (g *gauges) add(now time.Time, s gaugeSums, o *ownedPool) gaugeSums {
+	f := o.figures(now).summary
+	s.slots, s.inFlight, s.queued = s.slots+f.Slots, s.inFlight+f.InFlight, s.queued+f.Queued
+	o.mu.Lock()
+	status := o.pool.Upstreams(now)
+	o.mu.Unlock()
+	if g.ejected == nil {
+		g.ejected = map[string]time.Time{}
+	}
+	for _, u := range status {
+		switch u.Health {
+		case dispatch.Cold:
+			s.cold++
+		case dispatch.Ejected:
+			s.ejected++
+			if !u.EjectedUntil.Equal(g.ejected[u.Name]) {
+				g.ejected[u.Name] = u.EjectedUntil
+				s.ejections++
+			}
+		default:
+			delete(g.ejected, u.Name)
+		}
 	}
+	return s
 }
--- a/entry/registrar.go
+++ b/entry/registrar.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -28,10 +29,16 @@
 	homes    *idempotency.Homes
 	adopted  atomic.Bool // the members that were lost within the retention are known
 
-	mu      sync.Mutex
-	asks    map[string]*question
-	moved   map[string]string    // incarnations that stopped as planned, to the holders of their records
-	movedAt map[string]time.Time // when they did
+	moved atomic.Pointer[map[string]movedRecords] // by incarnation that stopped as planned; changes copy it
+
+	mu   sync.Mutex
+	asks map[string]*question
+}
+
+// movedRecords says who holds the records of a stopped incarnation.
+type movedRecords struct {
+	to string
+	at time.Time
 }
 
 // question is a question to the earlier homes of an opaque ID.
@@ -43,8 +50,9 @@
 func newRegistrar(e *Entry) *registrar {
 	r := &registrar{
 		e: e, registry: e.newRegistry(), homes: idempotency.NewHomes(e.Incarnation(), retention),
-		asks: map[string]*question{}, moved: map[string]string{}, movedAt: map[string]time.Time{},
+		asks: map[string]*question{},
 	}
+	r.moved.Store(&map[string]movedRecords{})
 	r.homes.SetMembers(e.started, []string{e.Incarnation()})
 	return r
 }
@@ -159,15 +167,14 @@
 }
 
 func (r *registrar) elsewhere(incarnation string) proxy.Verdict {
-	r.mu.Lock()
-	for range len(r.moved) {
-		to, ok := r.moved[incarnation]
+	moved := *r.moved.Load()
+	for range len(moved) {
+		next, ok := moved[incarnation]
 		if !ok {
 			break
 		}
-		incarnation = to
+		incarnation = next.to
 	}
-	r.mu.Unlock()
 	m, ok := r.e.memberOf(incarnation)
 	if !ok || incarnation == r.e.Incarnation() {
 		return proxy.Verdict{Kind: proxy.VerdictUnknown}
@@ -229,10 +236,11 @@
 	r.homes.SetMembers(now, live)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for from, at := range r.movedAt {
-		if now.Sub(at) > retention {
-			delete(r.moved, from)
-			delete(r.movedAt, from)
+	for from, m := range *r.moved.Load() {
+		if now.Sub(m.at) > retention {
+			moved := maps.Clone(*r.moved.Load())
+			delete(moved, from)
+			r.moved.Store(&moved)
 		}
 	}
 	for id, q := range r.asks {
--- a/entry/slots.go
+++ b/entry/slots.go
@@ -60,6 +60,9 @@
 		return
 	}
 	o.finish(g.ID, c, r)
+	if added := time.Since(c.Received) - r.Total; r.Kind == proxy.ResultSuccess && !c.Retried {
+		s.e.metrics.AddedLatency(c.Service, max(added, 0).Seconds())
+	}
 	if r.Kind == proxy.ResultSuccess {
 		s.e.poison.succeeded(c)
 	}
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -97,12 +97,15 @@
 }
 
 // entry starts an entry. Callers keep its address for a short time, so that planned stops are short.
-func (w *world) entry(host, dc string) *runningEntry {
+func (w *world) entry(host, dc string, change ...func(*Settings)) *runningEntry {
 	s := settings.Settings{
 		Host: host, DataCentre: dc, CallersListen: "127.0.0.1:0", PeersListen: "127.0.0.1:0", OperatorsListen: "127.0.0.1:0",
 		PlatformUrl: w.web.URL, InsecureLoopback: true, LogLevel: "info", DecisionLogPerSecond: 100, MaxHeaderBytes: 65536,
 		MaxBodyBytes: 1 << 30, AddressKeepSeconds: 1, StopTimeoutSeconds: 60,
 	}
+	for _, f := range change {
+		f(&s)
+	}
 	out := io.Discard
 	if os.Getenv("ENTRY_TEST_LOG") != "" {
 		out = os.Stderr
--- a/internal/cluster/node.go
+++ b/internal/cluster/node.go
@@ -59,6 +59,7 @@
 	mu         sync.Mutex
 	core       *Core
 	generation uint64 // of the members in the last view
+	stale      bool   // the owner function of the last view is out of date
 }
 
 // NewIncarnation returns a random incarnation.
@@ -160,9 +161,10 @@
 // members returns the members and owner function, those of the last view when nothing changed.
 func (n *Node) members() ([]membership.Member, *membership.Owners) {
 	generation := n.core.Table().Generation()
-	if last := n.view.Load(); last != nil && n.generation == generation {
+	if last := n.view.Load(); last != nil && n.generation == generation && !n.stale {
 		return last.Members, last.Owners
 	}
+	n.stale = false
 	n.generation = generation
 	members := n.core.Table().Members()
 	return members, membership.NewOwners(members, n.settings.Membership.Distance)
@@ -184,6 +186,11 @@
 	n.do(func(time.Time) { n.core.Facts().SetMoves(moves) })
 }
 
+// Refresh builds the owner function anew, after the distances of the data centres changed.
+func (n *Node) Refresh() {
+	n.do(func(time.Time) { n.stale = true })
+}
+
 // SetLeaving declares that the entry leaves. It owns no pools from now on.
 func (n *Node) SetLeaving() {
 	n.do(func(now time.Time) { n.core.Table().SetLeaving(now) })
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -69,6 +69,9 @@
 	slots      *prometheus.GaugeVec
 	inFlight   *prometheus.GaugeVec
 	queued     *prometheus.GaugeVec
+	cold       *prometheus.GaugeVec
+	ejected    *prometheus.GaugeVec
+	ejections  *prometheus.CounterVec
 	frames     *prometheus.CounterVec
 	frameBytes *prometheus.CounterVec
 	dropped    *prometheus.CounterVec
@@ -119,6 +122,9 @@
 		slots:      gauges("pool_slots", "Usable slots of the pools owned here.", "service", "data_centre"),
 		inFlight:   gauges("pool_in_flight", "Calls running in the pools owned here.", "service", "data_centre"),
 		queued:     gauges("pool_queued", "Calls waiting in the pools owned here.", "service", "data_centre"),
+		cold:       gauges("cold_upstreams", "Upstreams in cold start of the pools owned here.", "service", "data_centre"),
+		ejected:    gauges("ejected_upstreams", "Ejected upstreams of the pools owned here.", "service", "data_centre"),
+		ejections:  counter("ejections_total", "Ejections of upstreams, as seen once a second.", "service"),
 		frames:     counter("peer_frames_total", "Frames sent to peers, by type.", "type"),
 		frameBytes: counter("peer_sent_bytes_total", "Bytes sent to peers, by type of frame.", "type"),
 		dropped:    counter("peer_frames_dropped_total", "Frames of peers that were dropped.", "reason"),
@@ -191,6 +197,26 @@
 	m.queued.WithLabelValues(service, dataCentre).Set(float64(queued))
 }
 
+// Upstreams sets the states of the upstreams of a service in a data centre.
+func (m *Metrics) Upstreams(service, dataCentre string, cold, ejected int) {
+	service, dataCentre = m.services.Value(service), m.dataCentres.Value(dataCentre)
+	m.cold.WithLabelValues(service, dataCentre).Set(float64(cold))
+	m.ejected.WithLabelValues(service, dataCentre).Set(float64(ejected))
+}
+
+// Ejections counts ejections of upstreams.
+func (m *Metrics) Ejections(service string, n int) {
+	m.ejections.WithLabelValues(m.services.Value(service)).Add(float64(n))
+}
+
+// ForgetPool drops the gauges of the pools of a service in a data centre, after the last of them got another owner.
+func (m *Metrics) ForgetPool(service, dataCentre string) {
+	service, dataCentre = m.services.Value(service), m.dataCentres.Value(dataCentre)
+	for _, g := range []*prometheus.GaugeVec{m.slots, m.inFlight, m.queued, m.cold, m.ejected} {
+		g.DeleteLabelValues(service, dataCentre)
+	}
+}
+
 // Frame counts a frame sent to a peer.
 func (m *Metrics) Frame(kind string, bytes int) {
 	kind = m.reasons.Value(kind)
