--- /dev/null
+++ b/internal/conformance/follower_test.go
@@ -0,0 +1,204 @@
+package conformance
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"boragehinge.example/boragehinge/internal/configlog"
+	"boragehinge.example/boragehinge/internal/platform"
+	"boragehinge.example/boragehinge/internal/platform/standin"
+)
+
+// slowLog is the log as one entry reaches it. While cut is set the entry takes no read action.
+type slowLog struct {
+	platform.Log
+	cut atomic.Bool
+}
+
+// Read implements platform.Log.
+func (l *slowLog) Read(ctx context.Context, from int64, limit int, wait time.Duration) ([]platform.Entry, error) {
+	if l.cut.Load() {
+		return nil, platform.ErrUnavailable
+	}
+	entries, err := l.Log.Read(ctx, from, limit, min(wait, 100*time.Millisecond))
+	if l.cut.Load() {
+		return nil, platform.ErrUnavailable
+	}
+	return entries, err
+}
+
+// fleet runs followers of one log and claims versions as action claim of spec/config.pml does.
+type fleet struct {
+	t       *testing.T
+	rng     *rand.Rand
+	log     *standin.Server
+	hosts   []platform.Host
+	entries []*fleetEntry
+	version int64 // newest accepted
+	changes int
+	inForce int64
+}
+
+type fleetEntry struct {
+	follower *configlog.Follower
+	log      *slowLog
+	cancel   context.CancelFunc
+	running  sync.WaitGroup
+	ready    bool
+	version  int64
+}
+
+func newFleet(t *testing.T, n int, seed uint64) *fleet {
+	f := &fleet{t: t, rng: rand.New(rand.NewPCG(seed, 2)), log: standin.New(nil)}
+	for i := range n {
+		f.hosts = append(f.hosts, platform.Host{Name: fmt.Sprint("e", i), DataCentre: "dc"})
+		f.entries = append(f.entries, nil)
+	}
+	for i := range n {
+		f.start(i)
+	}
+	t.Cleanup(func() {
+		for i := range f.entries {
+			f.stop(i)
+		}
+	})
+	return f
+}
+
+func (f *fleet) start(i int) {
+	e := &fleetEntry{log: &slowLog{Log: f.log}}
+	e.follower = configlog.NewFollower(configlog.FollowerSettings{Log: e.log, Self: f.hosts[i], Retention: time.Hour})
+	e.follower.SetHosts(f.hosts)
+	ctx, cancel := context.WithCancel(context.Background())
+	e.cancel = cancel
+	e.running.Go(func() { _ = e.follower.Run(ctx) })
+	f.entries[i] = e
+}
+
+func (f *fleet) stop(i int) {
+	f.entries[i].cancel()
+	f.entries[i].running.Wait()
+}
+
+// replace is action replacements.
+func (f *fleet) replace(i int) {
+	cut := f.entries[i].log.cut.Load()
+	f.stop(i)
+	f.start(i)
+	f.entries[i].log.cut.Store(cut)
+}
+
+// outage cuts all entries from the log, or lets a random part of them read again.
+func (f *fleet) outage(out bool) {
+	for _, e := range f.entries {
+		e.log.cut.Store(out || f.rng.IntN(3) == 0)
+	}
+}
+
+func (f *fleet) change() {
+	f.changes++
+	offset, err := f.log.Append(f.t.Context(), changeData(f.t, fmt.Sprint("c", f.changes), f.version))
+	require.NoError(f.t, err)
+	f.version = offset
+}
+
+// ask is a part of action copyFromPeers: e asks one peer and offers its answer.
+func (f *fleet) ask(i, peer int) {
+	e, p := f.entries[i], f.entries[peer]
+	if i == peer {
+		return
+	}
+	if ok, _ := p.follower.Ready(); !ok {
+		return
+	}
+	entries, _, err := p.follower.Records(e.follower.Next(), 1<<16)
+	if err == nil {
+		e.follower.Offer(f.hosts[peer].Name, entries)
+	}
+}
+
+// check is the properties of spec/config.pml and action claim, after each step.
+func (f *fleet) check(step string) {
+	before := f.inForce
+	var held []int64
+	for i, e := range f.entries {
+		view := e.follower.View()
+		require.GreaterOrEqual(f.t, view.Version.Offset, e.version, "%s: the version of entry %d fell", step, i)
+		e.version = view.Version.Offset
+		ok, _ := e.follower.Ready()
+		if ok && !e.ready {
+			require.GreaterOrEqual(f.t, e.version, before, "%s: entry %d is ready with an older version than one in force", step, i)
+		}
+		e.ready = ok
+		if ok {
+			held = append(held, e.version)
+		}
+	}
+	for _, v := range held {
+		count := 0
+		for _, other := range held {
+			if other >= v {
+				count++
+			}
+		}
+		if count > len(f.entries)/2 {
+			f.inForce = max(f.inForce, v)
+		}
+	}
+}
+
+// step does one random action.
+func (f *fleet) step() {
+	i := f.rng.IntN(len(f.entries))
+	name := ""
+	switch f.rng.IntN(10) {
+	case 0, 1:
+		name = "change"
+		f.change()
+	case 2:
+		name = "replace"
+		f.replace(i)
+	case 3, 4:
+		name = "log out"
+		f.outage(true)
+	case 5:
+		name = "log back for some"
+		f.outage(false)
+		time.Sleep(3 * time.Second)
+		synctest.Wait()
+	default:
+		name = fmt.Sprint("ask for ", i)
+		f.ask(i, f.rng.IntN(len(f.entries)))
+	}
+	synctest.Wait()
+	f.check(name)
+	time.Sleep(time.Duration(f.rng.IntN(4000)) * time.Millisecond)
+	synctest.Wait()
+	f.check("time")
+}
+
+// Guards against an entry that starts during an outage of the log and serves an older version than one in force,
+// because it counts answers that peers gave before the version moved on.
+func TestFollowersConformToModel(t *testing.T) {
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 3+2*int(seed%2), seed)
+				f.change()
+				time.Sleep(5 * time.Second)
+				for range 120 {
+					f.step()
+				}
+				require.Positive(t, f.inForce)
+			})
+		})
+	}
+}
