Let answers of peers count for 5 s only

Cause: an entry that starts while the log is out counted answers for good. Peers that answered early may hold a newer version when the last answer completes the majority, so the entry could serve an older version than one in force.

Change: an answer counts for answerValid. The entry then holds each version that was in force when the oldest counted answer was given.

--- a/internal/configlog/follower.go
+++ b/internal/configlog/follower.go
@@ -19,6 +19,11 @@
 	defaultRetention    = 24 * time.Hour
 	snapshotSpreadEntry = 2 * time.Second
 	minSnapshotSpread   = 10 * time.Second
+
+	// answerValid is how long a peer's answer that it has nothing newer counts. Peers that answered earlier may hold a
+	// newer version meanwhile, and a majority of such answers proves nothing. A version that was in force this long ago
+	// is known to one of the peers that are counted.
+	answerValid = 5 * time.Second
 )
 
 // ErrNotReady means that a follower doesn't know yet whether its state is current.
@@ -49,10 +54,10 @@
 	fold       *Fold
 	cursor     cursor
 	buffer     buffer
-	roster     map[string]bool // entries of this data centre, with this entry
-	population int             // entries of all data centres
-	answered   map[string]bool // peers that have nothing newer
-	current    bool            // state known to be current once since the start
+	roster     map[string]bool      // entries of this data centre, with this entry
+	population int                  // entries of all data centres
+	answered   map[string]time.Time // when a peer had nothing newer
+	current    bool                 // state known to be current once since the start
 	logErr     error
 	lastRead   time.Time
 	snapshotAt time.Time // time to write the snapshot that is due
@@ -75,7 +80,7 @@
 	}
 	f := &Follower{
 		set: s, fold: NewFold(), population: 1,
-		roster: map[string]bool{s.Self.Name: true}, answered: map[string]bool{},
+		roster: map[string]bool{s.Self.Name: true}, answered: map[string]time.Time{},
 	}
 	v := f.fold.View()
 	f.view.Store(&v)
@@ -151,8 +156,9 @@
 
 func (f *Follower) countAnswers() int {
 	n := 0
-	for peer := range f.answered {
-		if f.roster[peer] && peer != f.set.Self.Name {
+	now := f.set.Now()
+	for peer, at := range f.answered {
+		if f.roster[peer] && peer != f.set.Self.Name && now.Sub(at) < answerValid {
 			n++
 		}
 	}
@@ -167,14 +173,14 @@
 
 // Offer takes the records of a peer's answer to a request from Next on. An empty answer says that the peer, which must
 // be ready itself, has nothing newer; a peer is asked again until then. A majority of such answers makes this entry
-// ready without the log.
+// ready without the log, if they came within answerValid.
 func (f *Follower) Offer(peer string, entries []platform.Entry) {
 	f.mu.Lock()
 	for _, e := range entries {
 		f.take(e, f.fold.Apply(e))
 	}
 	if len(entries) == 0 {
-		f.answered[peer] = true
+		f.answered[peer] = f.set.Now()
 		f.checkMajority()
 	}
 	v := f.fold.View()
