--- a/spec/config.pml
+++ b/spec/config.pml
@@ -133,7 +133,10 @@
   fi
 }
 
-/* Action copyFromPeers: the log is out; e takes the newest state of a majority of ready peers. */
+/* Action copyFromPeers: the log is out; e takes the newest state of a majority of ready peers. e itself doesn't count,
+ * since it knows nothing; with three entries, counting it is the same as taking the answer of one peer. The model copies
+ * at one moment. In Follower.Offer the answers come within answerValid of each other, and the version is compared with
+ * the one in force when the first of them was given. */
 inline copyFromPeers(e, answers, p, best) {
   answers = 0;
   best = ENTRIES;
@@ -168,7 +171,8 @@
 #define holds(p, v) ((ready[p] && version[p] >= v) -> 1 : 0)
 
 /*
- * Action claim: all entries that the claimant reaches hold v, and they are a majority. Implemented by Submit.
+ * Action claim: all entries that the claimant reaches hold v, and they are a majority. Implemented by
+ * membership.Table.LowestVersion.
  * The claimant may reach any set of entries, so the highest version held by a majority is claimed at once: a
  * later or lower claim only weakens the properties.
  */
--- a/spec/view.pml
+++ b/spec/view.pml
@@ -13,6 +13,8 @@
  * A report of another view than the receiver's own need not be stored: when the receiver's view changes to that
  * one, its transition outlasts the report.
  *
+ * Rosters that differ are in roster.pml.
+ *
  * Property (guarantee 2): at no moment may two entries send to the same cold upstream.
  */
 #define N 3
@@ -54,9 +56,18 @@
 #define confirmed(i) (settled(i) && vote(i, 0) + vote(i, 1) + vote(i, 2) >= NEEDED)
 #define mayGrantCold(i) (owner(view[i]) == i && confirmed(i))
 
+/* A host runs one process at a time. With two, each may support another view, and the host votes twice. The rule that
+ * a receiver takes a new incarnation only when the old one has been silent for OWN_FRESH doesn't replace this: it keeps
+ * two processes from replacing each other at one receiver, while other receivers may have taken the other one. */
+#ifdef MUTATE_TWO_PROCESSES_ON_A_HOST
+#define otherProcess(j) (j == 2)
+#else
+#define otherProcess(j) false
+#endif
+
 /* Action exchange: entry i hears the view that j reports now. Implemented by Table.Observe. */
 inline exchange(i, j) {
-  report[i].age[j] = ((settled(j) && view[j] == view[i]) -> 0 : STALE)
+  report[i].age[j] = (((settled(j) && view[j] == view[i]) || otherProcess(j)) -> 0 : STALE)
 }
 
 inline forget(i) {
