Say "not run" of a resend only when its registrar proves it

Cause: an entry that refused a request before the registrar was asked (invalid headers, a body that broke off, no time left for the way to the registrar, an entry without a proven configuration) answered "not run". For a resend whose earlier attempt ran at another entry that was false. Found by TestResendBeyondItsDeadlineIsNotCalledNotRun.

Change: until the registrar has answered, a call with a request ID that may be a resend is refused as unknown; first attempts, idempotent calls and calls without an ID stay "not run". The platform client also refuses "Retry-After: NaN", which made it pause for no time.

--- a/entry/handlers.go
+++ b/entry/handlers.go
@@ -21,7 +21,7 @@
 			e.serveAddresses(w, r)
 			return
 		}
-		if e.refuseUnready(w) {
+		if e.refuseUnready(w, r) {
 			return
 		}
 		e.proxy.ServeHTTP(w, r)
@@ -40,20 +40,20 @@
 		}
 		e.forwards.Add(1)
 		defer e.forwards.Add(-1)
-		if !e.refuseUnready(w) {
+		if !e.refuseUnready(w, r) {
 			e.proxy.ServeForward(w, r)
 		}
 	})
 }
 
-// refuseUnready refuses a call as not run while the configuration isn't proven.
-func (e *Entry) refuseUnready(w http.ResponseWriter) bool {
+// refuseUnready refuses a call while the configuration isn't proven.
+func (e *Entry) refuseUnready(w http.ResponseWriter, r *http.Request) bool {
 	ok, why := e.proven()
 	if ok {
 		return false
 	}
 	h := w.Header()
-	h.Set(proxy.HeaderOutcome, string(proxy.NotRun))
+	h.Set(proxy.HeaderOutcome, string(proxy.RefusalOutcome(r)))
 	h.Set(proxy.HeaderReason, reasonNotReady)
 	h.Set("Retry-After", "1")
 	http.Error(w, "not ready: "+why, http.StatusServiceUnavailable)
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -210,7 +210,7 @@
 
 func retryAfter(resp *http.Response) time.Duration {
 	seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
-	if err != nil || seconds < 0 || seconds > 60 {
+	if err != nil || !(seconds >= 0 && seconds <= 60) { // also refuses NaN
 		return time.Second
 	}
 	return time.Duration(seconds * float64(time.Second))
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -26,6 +26,7 @@
 	index    int                 // 1 for a hedge
 	resp     *transport.Response // nil without a response
 	tried    Tried               // valid when resp is nil
+	answered bool                // another entry answered with an outcome
 	upstream string
 }
 
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -48,7 +48,9 @@
 		return
 	}
 	v := conclude([]Tried{a.tried})
-	if a.tried.Reason == ReasonConnectFailed && !call.FirstAttempt {
+	if a.answered {
+		out.resend = false
+	} else if out.resend && a.tried.Reason == ReasonConnectFailed {
 		v = verdict{outcome: Unknown, reason: ReasonRegistrarGone}
 	}
 	out.refuse(v)
@@ -88,6 +90,7 @@
 		a.call.Retried = true
 	}
 	outcome := Outcome(resp.Header.Get(HeaderOutcome))
+	a.answered = outcome != ""
 	if outcome == Done {
 		a.resp = resp
 		return
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -62,6 +62,7 @@
 // serve reads the replayable part of the body, applies the deadline and runs the call.
 func (p *Proxy) serve(out *responder, r *http.Request, call *Call, forwarded bool) {
 	out.call = call
+	out.resend = out.resend && call.registered()
 	body, err := p.openBody(out, r, call)
 	if err != nil {
 		out.refuse(verdict{outcome: NotRun, reason: ReasonRequestBody, err: err})
--- a/internal/proxy/respond.go
+++ b/internal/proxy/respond.go
@@ -25,7 +25,7 @@
 	switch {
 	case errors.As(v.err, &tooLarge):
 		return http.StatusRequestEntityTooLarge
-	case v.outcome == NotRun && (v.reason == ReasonInvalid || v.reason == ReasonRequestBody):
+	case v.reason == ReasonInvalid || v.reason == ReasonRequestBody && v.outcome == NotRun:
 		return http.StatusBadRequest
 	case v.outcome == NotRun && v.reason == ReasonCustomerLimit:
 		return http.StatusTooManyRequests
@@ -49,10 +49,12 @@
 	started bool        // the response's header was passed to w
 	summary string      // of the pool, for the response to a forward
 	upload  *callerBody // nil unless the request's body is streamed
+	// resend is set while the call may be a resend whose earlier attempt ran: only its registrar knows.
+	resend bool
 }
 
 func newResponder(p *Proxy, w http.ResponseWriter, r *http.Request) *responder {
-	out := &responder{p: p, w: w, r: r, control: http.NewResponseController(w)}
+	out := &responder{p: p, w: w, r: r, control: http.NewResponseController(w), resend: mayBeResend(r)}
 	if !r.ProtoAtLeast(1, 1) {
 		// net/http ignores Transfer-Encoding in HTTP/1.0 requests; the chunks must not be read as the next request.
 		w.Header()["Connection"] = []string{"close"}
@@ -60,8 +62,27 @@
 	return out
 }
 
+// mayBeResend reports whether an earlier attempt of the call may have run, as far as the headers tell.
+func mayBeResend(r *http.Request) bool {
+	h := r.Header
+	return h.Get(HeaderRequestID) != "" && h.Get(HeaderForward) != forwardRun && h.Get(HeaderFirstAttempt) != "true" &&
+		h.Get(HeaderIdempotent) != "true"
+}
+
+// RefusalOutcome is the outcome of a request that is refused before its call was registered. A resend may have run
+// earlier at another entry, so that only its registrar can prove "not run".
+func RefusalOutcome(r *http.Request) Outcome {
+	if mayBeResend(r) {
+		return Unknown
+	}
+	return NotRun
+}
+
 // refuse reports an end without an upstream's response.
 func (o *responder) refuse(v verdict) {
+	if o.resend && v.outcome == NotRun {
+		v.outcome = Unknown
+	}
 	h := o.w.Header()
 	h["Content-Type"] = []string{"application/json"}
 	if v.outcome == NotRun && v.reason != ReasonInvalid {
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -12,9 +12,11 @@
 		v := p.deps.Registrar.Begin(time.Now(), call)
 		switch v.Kind {
 		case VerdictRun:
+			out.resend = false
 			p.serveRecorded(ctx, out, r, call, body)
 			return
 		case VerdictReplay:
+			out.resend = false
 			out.replay(v.Answer)
 			return
 		case VerdictElsewhere:
