--- a/internal/operators/client.go
+++ b/internal/operators/client.go
@@ -98,6 +98,9 @@
 		case KindUpstream, KindEntry:
 			s.Statements = append(s.Statements, st)
 		case KindLog:
+			if !s.Log.Reachable && s.Log.Used {
+				continue // the statement of the entry that was asked says the same
+			}
 			st.Text = "entry " + other.Self.Host + ": " + st.Text
 			s.Statements = append(s.Statements, st)
 		}
--- a/internal/operators/client_test.go
+++ b/internal/operators/client_test.go
@@ -50,6 +50,10 @@
 	assert.Equal(t, maxUpstreamLines, strings.Count(out, "is ejected"))
 	assert.Contains(t, out, "5 more upstreams that are not healthy")
 	assert.Contains(t, out, "entry b: the log cannot be read")
+	first.state.Log = second.state.Log
+	all, _, err = c.StatusOfAll(t.Context())
+	require.NoError(t, err)
+	assert.Equal(t, 1, strings.Count(text(t, all), "the log cannot be read"))
 
 	_, err = c.Explain(t.Context(), Query{Path: "x"})
 	var refused ErrAnswer
