--- a/entry/once_test.go
+++ b/entry/once_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -11,6 +12,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"boragehinge.example/boragehinge/internal/dispatch"
 	"boragehinge.example/boragehinge/internal/emulator"
 )
 
@@ -160,3 +162,37 @@
 	}
 	assert.Equal(t, before, crashes())
 }
+
+// Guards against a new owner that takes a cold upstream for a warm one and gives it calls for all its slots.
+func TestNextOwnerKnowsColdUpstreams(t *testing.T) {
+	w := newWorld(t)
+	u := w.upstream("u1", emulator.Config{Slots: 4, StartCold: true})
+	w.apply(w.inventory("", target{"u1", "dc-1", "1"}))
+	list := []*runningEntry{w.entry("e1", "dc-1"), w.entry("e2", "dc-1"), w.entry("e3", "dc-1")}
+	w.settled(list...)
+	owner := w.owner("dc-1", list...)
+	cold := func(e *runningEntry) bool {
+		status := e.upstreamStates(time.Now())
+		return len(status) == 1 && status[0].Health == dispatch.Cold
+	}
+	w.eventually("the owner learns that the upstream is cold", func() bool {
+		if !cold(owner) {
+			w.call(owner, http.MethodGet, "/x", nil)
+		}
+		return cold(owner)
+	})
+	others := slices.DeleteFunc(slices.Clone(list), func(e *runningEntry) bool { return e == owner })
+	w.eventually("the neighbours are told", func() bool {
+		return !slices.ContainsFunc(others, func(e *runningEntry) bool {
+			e.cold.mu.Lock()
+			defer e.cold.mu.Unlock()
+			return len(e.cold.pools) == 0
+		})
+	})
+	owner.kill()
+	w.eventually("another entry owns the pool", func() bool { return w.owner("dc-1", others...) != nil })
+	next := w.owner("dc-1", others...)
+	assert.True(t, cold(next))
+	w.eventually("the cold upstream serves again", func() bool { return w.call(next, http.MethodGet, "/x", nil).outcome == "done" })
+	assert.Zero(t, u.State().Overloads)
+}
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -31,7 +31,7 @@
 		go func() {
 			defer l.wg.Done()
 			for i := 0; !l.stopped.Load(); i++ {
-				l.take(w.call(pick(c+i), http.MethodGet, fmt.Sprintf("/x/%d/%d", c, i), nil))
+				l.take(l.call(pick(c+i), c, i))
 				time.Sleep(2 * time.Millisecond)
 			}
 		}()
@@ -39,6 +39,19 @@
 	return l
 }
 
+// call sends a lookup or, each third time, an order with a request ID of the entry that it calls.
+func (l *load) call(e *runningEntry, c, i int) answer {
+	if i%3 != 0 {
+		return l.w.call(e, http.MethodGet, fmt.Sprintf("/x/%d/%d", c, i), nil)
+	}
+	id := fmt.Sprintf("%s.%d-%d", e.registrar.registry.Prefix(time.Now()), c, i)
+	a := l.w.call(e, http.MethodPost, "/orders/1", map[string]string{"Boragehinge-Request-Id": id})
+	if n := l.w.executions(id); a.outcome == "done" && n != 1 {
+		a.err = fmt.Errorf("%s ran %d times", id, n)
+	}
+	return a
+}
+
 func (l *load) take(a answer) {
 	if a.err == nil && a.status == http.StatusOK && a.outcome == "done" {
 		l.done.Add(1)
--- a/entry/tls_test.go
+++ b/entry/tls_test.go
@@ -22,7 +22,9 @@
 
 // certify returns an authority, and a certificate with its key that it signed for all entries.
 func certify(t *testing.T) (authority, certificate, key string) {
-	encode := func(kind string, der []byte) string { return string(pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})) }
+	encode := func(kind string, der []byte) string {
+		return string(pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}))
+	}
 	template := func(n int64, ca bool) *x509.Certificate {
 		return &x509.Certificate{
 			SerialNumber: big.NewInt(n), Subject: pkix.Name{CommonName: peer.SharedName}, DNSNames: []string{peer.SharedName},
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -112,6 +112,8 @@
 	}
 	e, err := New(s, WithLog(out), func(o *options) {
 		o.hostsEvery, o.stopMargin = 100*time.Millisecond, 200*time.Millisecond
+		// All entries read the host list within 0.2 s of each other.
+		o.membership.RosterHold = time.Second
 		o.backoff = platform.Backoff{Min: 20 * time.Millisecond, Max: 200 * time.Millisecond}
 	})
 	require.NoError(w.t, err)
