Hand the state of a pool over to its next owner

Cause: an owner that took a pool over treated all upstreams as warm and all token buckets as full, and didn't count the calls that the previous owner still ran. A cold upstream then got the allowances of two owners, and a customer's burst passed twice.

Change: Pool.Handover returns cold upstreams with their allowance, running calls, ejections and bucket levels, with relative times. WithHandover and WithTakeover are options of New and Configure. After an unplanned take-over an upstream runs one call at a time until its first report; a cold one gets nothing until a probe's report shows its running calls, which then count against the allowance for at most 30 s, or until 5 s have passed. Buckets start with the refill since the failure.

What stays: an upstream that was cold under the lost owner and doesn't say so in its reports is taken for warm after the first report.

--- a/internal/dispatch/configure.go
+++ b/internal/dispatch/configure.go
@@ -7,10 +7,14 @@
 )
 
 // Configure replaces the configuration. Upstreams that stay keep their health, and running calls keep their slots.
-// Upstreams that are added, come back from leaving, or belong to a pool that reopens count as cold.
-func (p *Pool) Configure(now time.Time, spec Spec) Events {
+// Upstreams that are added, come back from leaving, or belong to a pool that reopens count as cold. Options
+// apply afterwards, when the pool has come back from another owner.
+func (p *Pool) Configure(now time.Time, spec Spec, options ...Option) Events {
 	p.begin()
 	p.configure(now, spec, false)
+	for _, option := range options {
+		option(p)
+	}
 	if p.spec.Closed {
 		p.refuseQueued(now, func(*call) Reason { return ReasonClosed })
 	}
--- a/internal/dispatch/limits.go
+++ b/internal/dispatch/limits.go
@@ -38,6 +38,9 @@
 	hit       [6]*bucket // buckets of the call that allows looked at last
 	hits      int
 	nextPrune time.Time
+	// Buckets that are used for the first time start with this fill at this time; full while the time is zero.
+	startedAt time.Time
+	startFill float64
 }
 
 func (l *limiter) configure(now time.Time, specs []LimitSpec) {
@@ -47,6 +50,7 @@
 	for _, s := range specs {
 		key := limitKey{s.Customer, s.Class}
 		b := newBucket(now, s)
+		b.tokens = l.startTokens(now, b.spec)
 		if o := old[key]; o != nil {
 			o.refill(now)
 			// The meter goes on, so that a change of configuration gives no fresh burst.
@@ -122,6 +126,7 @@
 		}
 	}
 	b = newBucket(now, parent.spec)
+	b.tokens = l.startTokens(now, b.spec)
 	l.perEach[key] = b
 	return b
 }
--- a/internal/dispatch/outlier.go
+++ b/internal/dispatch/outlier.go
@@ -85,7 +85,7 @@
 			p.observeLatency(now, u, c.route, seconds)
 		}
 	}
-	p.observeReport(now, u, o.Report, ratio)
+	p.observeReport(now, u, o.Report, ratio, false)
 	p.judgeFailing(now, u)
 }
 
@@ -312,6 +312,7 @@
 		u.ratio = 1 + (u.ratio-1)*avoidDecay
 		u.avoid = u.ratio >= normalRatio
 	}
+	u.expireInherited(now)
 	if u.report.foreign > 0 && now.After(u.report.foreignUntil) {
 		u.report.foreign = 0
 	}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -44,8 +44,9 @@
 	scratch         []float64
 }
 
-// New returns a pool with the given configuration. The random source spreads probes and backoff times.
-func New(spec Spec, rng *rand.Rand) *Pool {
+// New returns a pool with the given configuration. The random source spreads probes and backoff times. Without options
+// its upstreams count as warm unless the Spec says cold, and its buckets are full.
+func New(spec Spec, rng *rand.Rand, options ...Option) *Pool {
 	p := &Pool{
 		rng:    rng,
 		byName: map[string]*upstream{},
@@ -53,6 +54,9 @@
 		routes: map[string]int{},
 	}
 	p.configure(time.Time{}, spec, true)
+	for _, option := range options {
+		option(p)
+	}
 	return p
 }
 
--- a/internal/dispatch/probes.go
+++ b/internal/dispatch/probes.go
@@ -29,7 +29,7 @@
 	u.probeFailed = !ok
 	if ok {
 		u.unreachable, u.refusedConns = time.Time{}, 0
-		p.observeReport(now, u, rep, 0)
+		p.observeReport(now, u, rep, 0, true)
 	} else {
 		p.becomeCold(u, "probe failed")
 		// A failed probe alone keeps no calls away: health endpoints mislead.
--- a/internal/dispatch/property_test.go
+++ b/internal/dispatch/property_test.go
@@ -191,6 +191,22 @@
 	return spec
 }
 
+// randomStart draws what the owner knows about the time before it took over.
+func randomStart(t *rapid.T) []Option {
+	switch rapid.IntRange(0, 3).Draw(t, "start") {
+	case 0:
+		return []Option{WithTakeover(benchStart, benchStart.Add(-2*time.Second))}
+	case 1:
+		h := Handover{Upstreams: []UpstreamHandover{
+			{Name: "u000", Running: 1, RunningMs: 100, EjectedMs: 1, Ejections: 1},
+			{Name: "u001", Cold: true, Allowance: 1, Running: 2, RunningMs: 1000},
+			{Name: "u002", EjectedMs: 700, Ejections: 3},
+		}}
+		return []Option{WithHandover(benchStart, h)}
+	}
+	return nil
+}
+
 // Guards against slots or cold allowances that are exceeded, calls with no end or two ends, grants to cold upstreams
 // or probes without a confirmed view, and counts that drift, under any order of operations.
 func TestInvariants(t *testing.T) {
@@ -200,7 +216,7 @@
 			open: map[uint64]string{}, ended: map[uint64]bool{}, running: map[string]int{},
 			probes: map[string]time.Time{},
 		}
-		l.p = New(l.spec, rand.New(rand.NewSource(1)))
+		l.p = New(l.spec, rand.New(rand.NewSource(1)), randomStart(t)...)
 		for range rapid.IntRange(1, 200).Draw(t, "steps") {
 			switch n := rapid.IntRange(0, 99).Draw(t, "step"); {
 			case n < 45:
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -32,7 +32,7 @@
 
 // observeReport checks a report against what calls show and applies it when it is trusted. ratio is the call's latency
 // relative to the peers' median, or 0 when unknown.
-func (p *Pool) observeReport(now time.Time, u *upstream, rep *LoadReport, ratio float64) {
+func (p *Pool) observeReport(now time.Time, u *upstream, rep *LoadReport, ratio float64, probe bool) {
 	if rep == nil {
 		return
 	}
@@ -58,6 +58,7 @@
 		p.becomeCold(u, "drain ended")
 	}
 	u.draining = rep.Draining
+	p.observeInherited(u, rep, probe)
 	r.foreign = max(0, rep.InFlight+rep.Queued-u.spec.Slots)
 	r.foreignUntil = now.Add(foreignFresh)
 }
--- a/internal/dispatch/upstream.go
+++ b/internal/dispatch/upstream.go
@@ -44,7 +44,8 @@
 	failsInRow  int
 	notRunInRow int
 
-	report reportState
+	report    reportState
+	inherited inherited
 
 	// Membership in one of the group's free lists.
 	list       *freeList
@@ -83,11 +84,14 @@
 	if u.ejected() || u.leaving() || !u.unreachable.IsZero() {
 		return 0
 	}
+	if u.cold && u.inherited.unknown {
+		return 0
+	}
 	n := min(u.allowance, u.spec.Slots)
 	if u.report.foreign > 0 {
 		n = max(1, n-u.report.foreign)
 	}
-	return n
+	return max(0, n-u.inherited.running)
 }
 
 // group holds the upstreams of one version, which are each other's peers.
