Believe a report of cold start beside lagging load figures

Cause: calls went to a cold upstream after its responses had said that it was cold. The pool discounts a report whose load figures contradict the calls. Figures that lag 100 ms do so at normal load with 3 data centres, and the cold flag was discounted with them. Besides, a report with a sequence number up to 64 below the highest was ignored, though it is the first sign of a restart when few reports came before, and a long call's report, more than 64 behind, was taken for a restart. Many restarts at once were each found by calls over the limit.

Change: the load figures and the state of a report are judged apart. A lower number proves a restart if the call was granted after the higher one had arrived; a lower number that says cold is a sign too. After two unannounced cold starts of a version within 1 s, its other upstreams run one call at a time until their next response, for at most 200 ms.

--- a/internal/dispatch/coldstart.go
+++ b/internal/dispatch/coldstart.go
@@ -12,6 +12,10 @@
 	refusalsUntilCold = 2
 	// refusalsUntilEjected is the run of refusals after which an upstream gets no work for a backoff time.
 	refusalsUntilEjected = 6
+	// signWindow is the time within which cold starts of two upstreams count as common.
+	signWindow = time.Second
+	// suspectFor bounds the suspicion of an upstream that answers nothing, such as one with long calls.
+	suspectFor = 200 * time.Millisecond
 	// Bounds of the time without calls after a refused connection.
 	minUnreachable = 50 * time.Millisecond
 	maxUnreachable = time.Second
@@ -19,12 +23,31 @@
 
 // becomeCold restarts the upstream's ramp at an allowance of 1.
 func (p *Pool) becomeCold(u *upstream, reason string) {
+	u.suspectUntil = time.Time{}
 	u.cold = true
 	u.coldReason = reason
 	u.allowance = 1
 	u.coldProgress = 0
 }
 
+// observeColdSign is called when a warm upstream shows that it became cold without warning. A second upstream of the
+// same version within signWindow suggests a common cause, such as a restart of all. The other warm ones then run one
+// call at a time until their next response.
+func (p *Pool) observeColdSign(now time.Time, u *upstream) {
+	g := u.group
+	common := g.signBy != nil && g.signBy != u && now.Sub(g.signAt) < signWindow
+	g.signAt, g.signBy = now, u
+	if !common {
+		return
+	}
+	for _, m := range g.members {
+		if m != u && !m.cold {
+			m.suspectUntil = now.Add(suspectFor)
+			p.relink(m)
+		}
+	}
+}
+
 // halve lowers the allowance after evidence that the upstream cannot handle it.
 func (u *upstream) halve() {
 	u.allowance = max(1, u.allowance/2)
--- a/internal/dispatch/outlier.go
+++ b/internal/dispatch/outlier.go
@@ -51,6 +51,8 @@
 // learn records the outcome of a call. The caller relinks the upstream.
 func (p *Pool) learn(now time.Time, u *upstream, c *call, o Outcome) {
 	seconds := o.Latency.Seconds()
+	warm := !u.cold
+	u.suspectUntil = time.Time{} // what follows may show that it is cold
 	ratio := u.ratioOf(c.route, seconds)
 	switch o.Kind {
 	case Success:
@@ -85,7 +87,10 @@
 			p.observeLatency(now, u, c.route, seconds)
 		}
 	}
-	p.observeReport(now, u, o.Report, ratio, false)
+	p.observeReport(now, u, reported{LoadReport: o.Report, sent: c.granted, coldThen: c.coldThen, ratio: ratio})
+	if warm && u.cold {
+		p.observeColdSign(now, u)
+	}
 	p.judgeFailing(now, u)
 }
 
@@ -313,6 +318,9 @@
 		u.avoid = u.ratio >= normalRatio
 	}
 	u.expireInherited(now)
+	if !u.suspectUntil.IsZero() && !now.Before(u.suspectUntil) {
+		u.suspectUntil = time.Time{}
+	}
 	if u.report.foreign > 0 && now.After(u.report.foreignUntil) {
 		u.report.foreign = 0
 	}
--- a/internal/dispatch/probes.go
+++ b/internal/dispatch/probes.go
@@ -15,6 +15,7 @@
 		return false
 	}
 	// The spread keeps an owner of many idle upstreams from probing all of them at the same moment.
+	u.probeSent = now
 	u.lastProbe = now.Add(time.Duration(p.rng.Int63n(int64(probeInterval / 8))))
 	return true
 }
@@ -29,7 +30,7 @@
 	u.probeFailed = !ok
 	if ok {
 		u.unreachable, u.refusedConns = time.Time{}, 0
-		p.observeReport(now, u, rep, 0, true)
+		p.observeReport(now, u, reported{LoadReport: rep, probe: true, sent: u.probeSent, coldThen: u.cold})
 	} else {
 		p.becomeCold(u, "probe failed")
 		// A failed probe alone keeps no calls away: health endpoints mislead.
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -15,8 +15,9 @@
 	route   int
 	arrived time.Time
 
-	up      *upstream // nil while queued
-	granted time.Time
+	up       *upstream // nil while queued
+	granted  time.Time
+	coldThen bool // the upstream was known to be cold at the grant
 
 	lane  *lane
 	queue *customerQueue
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -13,8 +13,6 @@
 	maxContradiction = 2 * distrustAt
 	// frozenAfter is the number of responses with the same sequence number that shows a frozen report.
 	frozenAfter = 3
-	// restartMargin separates a restart from responses that arrive out of order.
-	restartMargin = 64
 	// foreignFresh is the time for which reported work of other senders lowers the limit.
 	foreignFresh = 200 * time.Millisecond
 )
@@ -23,29 +21,44 @@
 type reportState struct {
 	seen         bool
 	seq          uint64
-	same         int // responses in a row with the same sequence number
-	points       int
-	distrusted   bool
-	foreign      int // calls of other senders, beyond the upstream's slots
+	seqAt        time.Time // arrival of the report with seq
+	same         int       // responses in a row with the same sequence number
+	figures      trust     // in the load figures
+	state        trust     // in the sequence number, cold and draining
+	foreign      int       // calls of other senders, beyond the upstream's slots
 	foreignUntil time.Time
 }
 
-// observeReport checks a report against what calls show and applies it when it is trusted. ratio is the call's latency
-// relative to the peers' median, or 0 when unknown.
-func (p *Pool) observeReport(now time.Time, u *upstream, rep *LoadReport, ratio float64, probe bool) {
-	if rep == nil {
+// reported is a report with what is known about the call or probe that it came with.
+type reported struct {
+	*LoadReport
+	probe    bool
+	sent     time.Time // grant of the call, or the time at which the probe became due
+	coldThen bool      // the upstream was known to be cold then
+	ratio    float64   // the call's latency relative to the peers' median, or 0 when unknown
+}
+
+// observeReport checks a report against what calls show and applies it when it is trusted.
+func (p *Pool) observeReport(now time.Time, u *upstream, rep reported) {
+	if rep.LoadReport == nil {
 		return
 	}
 	r := &u.report
-	r.score(contradiction(u, rep, ratio))
-	restarted := r.seen && rep.Seq+restartMargin < r.seq
-	outdated := r.seen && rep.Seq < r.seq && !restarted
+	r.judge(u, rep.LoadReport, rep.ratio)
+	lower := r.seen && rep.Seq < r.seq
+	// Only what was sent after the higher number had arrived proves a restart; other responses may be out of order.
+	restarted := lower && !rep.sent.Before(r.seqAt)
+	outdated := lower && !restarted
 	r.seen = true
 	if !outdated {
-		r.seq = rep.Seq
+		r.seq, r.seqAt = rep.Seq, now
 	}
-	if r.distrusted || outdated {
+	if r.state.distrusted || outdated {
 		r.foreign = 0
+		// After a restart, the responses to calls sent before have low numbers too; they are the first sign.
+		if outdated && !r.state.distrusted && rep.Cold && !rep.coldThen && !u.cold {
+			p.becomeCold(u, "own report")
+		}
 		return
 	}
 	if restarted {
@@ -58,14 +71,18 @@
 		p.becomeCold(u, "drain ended")
 	}
 	u.draining = rep.Draining
-	p.observeInherited(u, rep, probe)
+	if r.figures.distrusted {
+		r.foreign = 0
+		return
+	}
+	p.observeInherited(u, rep.LoadReport, rep.probe)
 	r.foreign = max(0, rep.InFlight+rep.Queued-u.spec.Slots)
 	r.foreignUntil = now.Add(foreignFresh)
 }
 
-// contradiction returns how strongly a report contradicts what calls show; 0 when it agrees.
-func contradiction(u *upstream, rep *LoadReport, ratio float64) int {
-	r := &u.report
+// judge scores the report's contradictions with what calls show. The load figures and the state are judged apart: honest
+// figures that lag contradict calls often, which says nothing about a report of cold start.
+func (r *reportState) judge(u *upstream, rep *LoadReport, ratio float64) {
 	if r.seen && rep.Seq == r.seq {
 		r.same++
 	} else {
@@ -74,29 +91,38 @@
 	idle := rep.InFlight == 0 && rep.Queued == 0
 	busy := rep.InFlight+rep.Queued > u.spec.Slots
 	normal := ratio > 0 && ratio < 1.5
+	figures, state := 0, 0
 	switch {
 	case r.same >= frozenAfter:
-		return pointsFrozen
+		figures, state = pointsFrozen, pointsFrozen
 	case idle && (u.inFlight >= 2 || ratio > slowRatio):
-		return pointsFalseIdle
+		figures = pointsFalseIdle
 	case busy && normal:
-		return pointsFalseBusy
-	case rep.Cold && normal:
-		return pointsFalseCold
+		figures = pointsFalseBusy
+	}
+	if rep.Cold && normal {
+		state = max(state, pointsFalseCold)
 	}
-	return 0
+	r.figures.score(figures)
+	r.state.score(state)
+}
+
+// trust counts contradictions.
+type trust struct {
+	points     int
+	distrusted bool
 }
 
 // score adds a contradiction; each consistent report takes one point back.
-func (r *reportState) score(points int) {
+func (t *trust) score(points int) {
 	if points == 0 {
 		points = -1
 	}
-	r.points = min(max(r.points+points, 0), maxContradiction)
+	t.points = min(max(t.points+points, 0), maxContradiction)
 	switch {
-	case r.points >= distrustAt:
-		r.distrusted = true
-	case r.points == 0:
-		r.distrusted = false
+	case t.points >= distrustAt:
+		t.distrusted = true
+	case t.points == 0:
+		t.distrusted = false
 	}
 }
--- a/internal/dispatch/simulate/baselines.go
+++ b/internal/dispatch/simulate/baselines.go
@@ -113,11 +113,25 @@
 // send carries an attempt to the upstream and its response back, with the extra one-way delay of another data centre.
 func (e *engine) send(u *upstream, j *job, extra time.Duration, reply func(outcome)) {
 	d := netDelay + extra
-	e.after(d, func() {
-		e.arrive(u, &arrival{j: j, reply: func(out outcome) {
-			e.after(d, func() { reply(out) })
-		}})
-	})
+	a := &arrival{j: j, afterSign: u.signed, otherSigns: e.signs(u)}
+	a.reply = func(out outcome) {
+		e.after(d, func() {
+			u.signed = u.signed || out.sign
+			reply(out)
+		})
+	}
+	e.after(d, func() { e.arrive(u, a) })
+}
+
+// signs counts the other upstreams whose cold start has shown.
+func (e *engine) signs(except *upstream) int {
+	n := 0
+	for _, u := range e.upstreams {
+		if u != except && u.signed {
+			n++
+		}
+	}
+	return n
 }
 
 // ideal is one central queue that knows the true state of every upstream at once and sends without delay.
--- a/internal/dispatch/simulate/result.go
+++ b/internal/dispatch/simulate/result.go
@@ -14,13 +14,17 @@
 	Refused [3]int
 	Failed  [3]int // outcome unknown or failure
 	// Wasted is slot time spent on attempts that did not lead to an answer in time.
-	Wasted     time.Duration
-	Probes     int
-	ColdOver   int // calls that reached a cold upstream past its limit
-	MaxRunning int // highest number of concurrent calls on one upstream
-	Seconds    float64
-	inWindow   int
-	latencies  [3][]time.Duration
+	Wasted   time.Duration
+	Probes   int
+	ColdOver int // calls that reached a cold upstream past its limit
+	// ColdOverAfterSign is the part of ColdOver that was sent after a response of the cold upstream had reached the
+	// sender. ColdOverAfterPeers is the part that was sent after such a response of two other upstreams.
+	ColdOverAfterSign  int
+	ColdOverAfterPeers int
+	MaxRunning         int // highest number of concurrent calls on one upstream
+	Seconds            float64
+	inWindow           int
+	latencies          [3][]time.Duration
 }
 
 func (r *Result) counts(j *job) bool { return j.arrived >= warmUp }
@@ -59,6 +63,15 @@
 	}
 }
 
+func (r *Result) countSigns(a *arrival) {
+	if a.afterSign {
+		r.ColdOverAfterSign++
+	}
+	if a.otherSigns >= 2 {
+		r.ColdOverAfterPeers++
+	}
+}
+
 func (r *Result) waste(_ *engine, j *job, worked time.Duration) {
 	if r.counts(j) {
 		r.Wasted += worked
--- a/internal/dispatch/simulate/run.go
+++ b/internal/dispatch/simulate/run.go
@@ -24,6 +24,9 @@
 // Faults are the scenarios. Each fault starts at a quarter of the duration; cold upstreams restart.
 var Faults = []string{"none", "slow", "cold", "silent-cold", "false-report", "third-lost", "failing-fast"}
 
+// FaultManySilentCold turns every second upstream cold at once. It is not part of the full experiment.
+const FaultManySilentCold = "many-silent-cold"
+
 // Policies are the ways to spread calls that are compared.
 var Policies = []string{"round-robin", "least-outstanding", "two-choices", "owner", "owner-3dc", "ideal"}
 
@@ -167,6 +170,10 @@
 			if i < 3 {
 				u.becomeCold()
 			}
+		case FaultManySilentCold:
+			if i%2 == 0 {
+				u.becomeCold()
+			}
 		case "false-report":
 			u.lies = i == 0
 		case "third-lost":
--- a/internal/dispatch/simulate/upstream.go
+++ b/internal/dispatch/simulate/upstream.go
@@ -29,6 +29,7 @@
 	upstream int
 	worked   time.Duration // time that the attempt held a slot
 	rep      report
+	sign     bool // the response was made after the cold start, or shows a crash
 }
 
 const (
@@ -57,6 +58,7 @@
 	down, failing, lies bool
 	slow                float64
 	seq                 uint64
+	signed              bool // a response since the cold start has reached the sender
 	lagged              report
 }
 
@@ -65,6 +67,9 @@
 	j     *job
 	reply func(outcome)
 	began time.Duration
+	// What the sender knew when it sent the attempt.
+	afterSign  bool
+	otherSigns int
 }
 
 func newUpstream(i, slots int) *upstream {
@@ -88,7 +93,7 @@
 	if u.lies {
 		rep = report{seq: 1}
 	}
-	a.reply(outcome{kind: k, upstream: u.index, worked: worked, rep: rep})
+	a.reply(outcome{kind: k, upstream: u.index, worked: worked, rep: rep, sign: u.cold || u.down})
 }
 
 // arrive is called when an attempt reaches the upstream.
@@ -101,6 +106,7 @@
 	case u.cold && u.running >= u.coldLimit():
 		// Past its limit, a cold upstream fails the call and loses what it had warmed up.
 		e.res.ColdOver++
+		e.res.countSigns(a)
 		u.warmed = 0
 		e.after(5*time.Millisecond, func() { e.end(u, a, failure, 5*time.Millisecond) })
 	case u.running < u.slots:
@@ -159,6 +165,7 @@
 	u.cold = true
 	u.warmed = 0
 	u.seq = 0
+	u.signed = false
 }
 
 // observeLoad refreshes the lagging figures of the report.
--- a/internal/dispatch/summary.go
+++ b/internal/dispatch/summary.go
@@ -53,7 +53,7 @@
 		Ejections:     u.ejections,
 		Latency:       u.meanLatency(),
 		FailureRate:   u.failRate,
-		ReportTrusted: !u.report.distrusted,
+		ReportTrusted: !u.report.figures.distrusted && !u.report.state.distrusted,
 		Grants:        u.grants,
 	}
 	for name, i := range p.routes {
--- a/internal/dispatch/upstream.go
+++ b/internal/dispatch/upstream.go
@@ -18,12 +18,14 @@
 	grants         uint64
 	lastCall       time.Time
 	lastProbe      time.Time
+	probeSent      time.Time
 	probeFailed    bool
 
 	cold         bool
 	coldReason   string
 	allowance    int
-	coldProgress int // successes at normal latency since the last step
+	coldProgress int       // successes at normal latency since the last step
+	suspectUntil time.Time // one call at a time until then: peers have just become cold
 
 	draining     bool // by its own report
 	gone         bool // no longer in the Spec
@@ -81,6 +83,15 @@
 
 // limit is the number of calls that the upstream may run now.
 func (u *upstream) limit() int {
+	n := u.capacity()
+	if !u.suspectUntil.IsZero() {
+		n = min(n, 1)
+	}
+	return n
+}
+
+// capacity is the limit without the short time after signs of cold start at peers.
+func (u *upstream) capacity() int {
 	if u.ejected() || u.leaving() || !u.unreachable.IsZero() {
 		return 0
 	}
@@ -103,6 +114,8 @@
 	running int
 	medians [maxRoutes]float64 // seconds per route; zero while unknown
 	failSum float64            // sum of the members' failure rates
+	signAt  time.Time          // last sign of an unannounced cold start of a member
+	signBy  *upstream
 }
 
 // capacity is the number of usable slots; cold ones count only with a confirmed view.
@@ -171,12 +184,12 @@
 	}
 	g := u.group
 	g.slots[u.countedAs] -= u.counted
-	limit := 0
+	limit, capacity := 0, 0
 	if !p.spec.Closed {
-		limit = u.limit()
+		limit, capacity = u.limit(), u.capacity()
 	}
-	u.counted, u.countedAs = limit, u.kind()
-	g.slots[u.countedAs] += limit
+	u.counted, u.countedAs = capacity, u.kind()
+	g.slots[u.countedAs] += capacity
 	if u.inFlight < limit {
 		g.free[u.countedAs].add(u, u.inFlight*freeLevels/limit)
 	}
@@ -233,7 +246,7 @@
 
 // hold takes a slot of the upstream for the call.
 func (p *Pool) hold(now time.Time, u *upstream, c *call) {
-	c.up, c.granted = u, now
+	c.up, c.granted, c.coldThen = u, now, u.cold
 	c.older, c.newer = u.newest, nil
 	if u.newest != nil {
 		u.newest.newer = c
