Judge a version's only upstream against its own past

Cause: an upstream without peers of its version was never ejected as slow or failing, though other versions in the pool could run its calls. No test covered a priority boost that Configure applies again.

Change: each upstream keeps a long-term mean of its latency per route and of its failures. Without peers, these take the place of the peers' figures. It is ejected with the usual backoff if the calls are not bound to its version, another version has a usable upstream, and that version doesn't show the same trouble. Otherwise it is kept. A test changes the boost while calls wait.

Without re-applying the boost the new test fails.

Conclusion: a single bad upstream gives its calls up where others can run them.

--- a/internal/dispatch/configure.go
+++ b/internal/dispatch/configure.go
@@ -128,6 +128,7 @@
 	g.members = slices.DeleteFunc(g.members, func(m *upstream) bool { return m == u })
 	u.group = nil
 	u.routes = [maxRoutes]routeStat{}
+	u.pastFailures = past{}
 	if len(g.members) == 0 {
 		p.groups = slices.DeleteFunc(p.groups, func(x *group) bool { return x == g })
 	}
--- a/internal/dispatch/estimate.go
+++ b/internal/dispatch/estimate.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // estimate is a moving mean and mean deviation in seconds.
 type estimate struct {
@@ -66,3 +69,39 @@
 	}
 	return longest
 }
+
+// updateMedians recomputes the peers' median latency per route, over warm upstreams if there are any.
+func (p *Pool) updateMedians() {
+	for _, g := range p.groups {
+		for route := range min(len(p.routes)+1, maxRoutes) {
+			median := p.median(g, route, false)
+			if median == 0 {
+				median = p.median(g, route, true)
+			}
+			if median > 0 {
+				g.medians[route] = median
+			}
+		}
+	}
+}
+
+// median returns the lower median of the members' mean latency on a route; with two members that is the faster one,
+// and with a single one its own past.
+func (p *Pool) median(g *group, route int, cold bool) float64 {
+	if len(g.members) == 1 {
+		if m := g.members[0].pastMedian(route); m > 0 {
+			return m
+		}
+	}
+	p.scratch = p.scratch[:0]
+	for _, u := range g.members {
+		if s := &u.routes[route]; u.cold == cold && s.n >= minSamples/2 {
+			p.scratch = append(p.scratch, s.mean)
+		}
+	}
+	if len(p.scratch) < min(2, len(g.members)) {
+		return 0
+	}
+	slices.Sort(p.scratch)
+	return p.scratch[(len(p.scratch)-1)/2]
+}
--- a/internal/dispatch/outlier.go
+++ b/internal/dispatch/outlier.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 )
 
@@ -41,8 +40,12 @@
 type routeStat struct {
 	mean float64 // seconds
 	n    int
+	past past
 }
 
+// forget drops the present and keeps the past.
+func (s *routeStat) forget() { s.mean, s.n = 0, 0 }
+
 func (s *routeStat) add(seconds float64) {
 	s.n++
 	s.mean += max(sampleGain, 1/float64(s.n)) * (seconds - s.mean)
@@ -52,6 +55,7 @@
 func (p *Pool) learn(now time.Time, u *upstream, c *call, o Outcome) {
 	seconds := o.Latency.Seconds()
 	warm := !u.cold
+	u.bound = c.req.Version != ""
 	u.suspectUntil = time.Time{} // what follows may show that it is cold
 	ratio := u.ratioOf(c.route, seconds)
 	switch o.Kind {
@@ -134,6 +138,9 @@
 		u.ratio += ratioGain * (ratio - u.ratio)
 	}
 	s.add(seconds)
+	if !u.cold {
+		s.past.add(seconds)
+	}
 	p.judgeSlow(now, u, route)
 }
 
@@ -149,6 +156,9 @@
 	if u.cold || u.ejected() || s.n < minSamples || u.ratioOf(route, s.mean) < slowRatio {
 		return
 	}
+	if u.alone() && (!p.replaceable(u) || !p.normalElsewhereInPool(u, route)) {
+		return
+	}
 	if !u.normalElsewhere(route) {
 		p.eject(now, u, "slow")
 		return
@@ -193,17 +203,17 @@
 		u.failsInRow = 0
 	}
 	u.outcomes++
+	u.pastFailures.add(sample)
 	u.failRate += sampleGain * (sample - u.failRate)
 	u.group.failSum += u.failRate - before
 }
 
-// judgeFailing ejects an upstream that fails far more than its peers.
+// judgeFailing ejects an upstream that fails far more than its peers, or than before if it has none.
 func (p *Pool) judgeFailing(now time.Time, u *upstream) {
-	peers := len(u.group.members) - 1
-	if u.failsInRow == 0 || u.ejected() || peers == 0 {
+	if u.failsInRow == 0 || u.ejected() || u.alone() && !p.replaceable(u) {
 		return
 	}
-	peerRate := min(max((u.group.failSum-u.failRate)/float64(peers), peerFailureFloor), 0.99)
+	peerRate := min(max(p.expectedFailures(u), peerFailureFloor), 0.99)
 	run := math.Log(falseEjectionOdds) / math.Log(peerRate)
 	onTrial := u.ejections > 0 && u.limited() && peerRate < failureMargin
 	switch {
@@ -221,6 +231,7 @@
 	}
 	age := now.Sub(u.newest.granted).Seconds()
 	if u.ratioOf(u.newest.route, age) > stuckRatio {
+		u.bound = u.newest.req.Version != ""
 		p.observeLatency(now, u, u.newest.route, age)
 	}
 }
@@ -247,7 +258,9 @@
 	u.group.failSum -= u.failRate
 	u.failRate, u.outcomes, u.failsInRow, u.notRunInRow = 0, 0, 0, 0
 	u.ratio, u.avoid, u.slowRoutes = 1, false, 0
-	u.routes = [maxRoutes]routeStat{}
+	for i := range u.routes {
+		u.routes[i].forget()
+	}
 }
 
 // active counts the upstreams that are not leaving.
@@ -308,7 +321,7 @@
 	if u.slowRoutes != 0 && !now.Before(u.slowUntil) {
 		for i := range u.routes {
 			if u.slowRoutes&(1<<i) != 0 {
-				u.routes[i] = routeStat{}
+				u.routes[i].forget()
 			}
 		}
 		u.slowRoutes = 0
@@ -326,36 +339,6 @@
 	}
 }
 
-// updateMedians recomputes the peers' median latency per route, over warm upstreams if there are any.
-func (p *Pool) updateMedians() {
-	for _, g := range p.groups {
-		for route := range min(len(p.routes)+1, maxRoutes) {
-			median := p.median(g, route, false)
-			if median == 0 {
-				median = p.median(g, route, true)
-			}
-			if median > 0 {
-				g.medians[route] = median
-			}
-		}
-	}
-}
-
-// median returns the lower median of the members' mean latency on a route; with two members that is the faster one.
-func (p *Pool) median(g *group, route int, cold bool) float64 {
-	p.scratch = p.scratch[:0]
-	for _, u := range g.members {
-		if s := &u.routes[route]; u.cold == cold && s.n >= minSamples/2 {
-			p.scratch = append(p.scratch, s.mean)
-		}
-	}
-	if len(p.scratch) < min(2, len(g.members)) {
-		return 0
-	}
-	slices.Sort(p.scratch)
-	return p.scratch[(len(p.scratch)-1)/2]
-}
-
 // meanLatency is the mean over the routes, weighed by nothing but their presence; for display only.
 func (u *upstream) meanLatency() time.Duration {
 	sum, n := 0.0, 0
--- a/internal/dispatch/queue_test.go
+++ b/internal/dispatch/queue_test.go
@@ -192,3 +192,28 @@
 	f.now = f.now.Add(100 * time.Millisecond)
 	assert.Equal(t, 1, send(5, "hard", "ordinary"))
 }
+
+// Guards against a change of a boost that leaves waiting calls in their old place, or is lost with an unrelated change.
+func TestConfigureAppliesPriorityBoostToWaitingCalls(t *testing.T) {
+	plain, boosted := testSpec(1, 1), testSpec(1, 1)
+	boosted.Customers = []CustomerSpec{{Name: "vip", PriorityBoost: 1}}
+	for name, specs := range map[string][2]Spec{"added": {plain, boosted}, "kept": {boosted, boosted}} {
+		f := newFixture(t, specs[0])
+		running := f.offer(1)[0]
+		f.submit(Request{Class: "ordinary"})
+		f.submit(Request{Class: "ordinary", Customer: "vip"})
+		vip := f.id
+		f.p.Configure(f.now, specs[1])
+		ev := f.p.Finish(f.now, running, Outcome{Latency: time.Millisecond})
+		require.Len(t, ev.Grants, 1, name)
+		assert.Equal(t, vip, ev.Grants[0].RequestID, name)
+	}
+	f := newFixture(t, boosted)
+	running := f.offer(1)[0]
+	f.submit(Request{Class: "ordinary"})
+	first := f.id
+	f.submit(Request{Class: "ordinary", Customer: "vip"})
+	f.p.Configure(f.now, plain)
+	ev := f.p.Finish(f.now, running, Outcome{Latency: time.Millisecond})
+	assert.Equal(t, first, ev.Grants[0].RequestID, "removed")
+}
--- a/internal/dispatch/upstream.go
+++ b/internal/dispatch/upstream.go
@@ -40,11 +40,13 @@
 	slowRoutes   uint64
 	slowUntil    time.Time
 
-	routes      [maxRoutes]routeStat
-	failRate    float64
-	outcomes    int
-	failsInRow  int
-	notRunInRow int
+	routes       [maxRoutes]routeStat
+	failRate     float64
+	outcomes     int
+	failsInRow   int
+	pastFailures past
+	bound        bool // its last judged call was bound to its version
+	notRunInRow  int
 
 	report    reportState
 	inherited inherited
