Don't take a slow route for a silent connection

Cause: a call without a byte for max(1 s, 4 x p99) was ended as silent while other calls to the upstream were answered. The p99 was that of all routes, so a slow report or a large archive beside fast lookups was cut after 1 s.

Change: a connection is silent in two cases, both only after 1 s and while other connections progress. The kernel gets no acknowledgement (2 retransmissions or keep-alive probes in a row, Linux only). Or the call was overtaken by 3 later calls of its own route and has taken longer than 4 x p99 and twice the slowest of the route's latest 128 calls, of which 20 must be known. Keep-alive probes start after 5 s instead of 15 s, and a connection that the kernel ends for them counts as silent.

TestSilentConnections now makes the 20 calls and 3 later calls that the evidence needs; what it asserts is the same.

What stays: where a relay acknowledges everything and the route is rarely called, the call ends at its deadline. A route with calls of very different length, whose latest 128 were short, can still lose a long one.

Conclusion: without a sign of a dead connection a slow route runs up to its deadline.

--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -21,6 +21,7 @@
 
 	// Guarded by path.mu.
 	lastResponse time.Time // time of dialling until the first response
+	route        *route    // of the current call
 	retired      bool      // to be closed after the current call
 	discarded    bool
 
@@ -106,6 +107,7 @@
 	c.written.Store(0)
 	c.sent.Store(false)
 	x.stop = context.AfterFunc(ctx, c.abort)
+	c.path.begin(c, routeOf(ctx))
 	x.start = time.Now()
 	x.trackBody()
 	if x.writesInline() {
--- a/internal/transport/conns_test.go
+++ b/internal/transport/conns_test.go
@@ -149,6 +149,10 @@
 	})
 	tr := newTransport(t, Config{NewConnsBurst: 50})
 	hold(t, tr, address, silent+5)()
+	for range minSamples {
+		_, err := call(t, tr, address, newRequest(t, "GET", "/", ""))
+		require.NoError(t, err)
+	}
 	results := make(chan error, silent)
 	for range silent {
 		go func() {
@@ -159,8 +163,10 @@
 	arrived.Wait()
 	time.Sleep(5 * time.Millisecond)
 	if progress {
-		_, err := call(t, tr, address, newRequest(t, "GET", "/", ""))
-		require.NoError(t, err)
+		for range laterResponses {
+			_, err := call(t, tr, address, newRequest(t, "GET", "/", ""))
+			require.NoError(t, err)
+		}
 	}
 	tr.Sweep(time.Now().Add(900 * time.Millisecond))
 	require.Zero(t, tr.Stats(address).Silent, "less than the floor of 1 s")
--- a/internal/transport/path.go
+++ b/internal/transport/path.go
@@ -9,8 +9,6 @@
 	"golang.org/x/time/rate"
 )
 
-const latencySamples = 256
-
 // path is the set of connections to one upstream.
 type path struct {
 	cfg     *Config
@@ -28,8 +26,8 @@
 	silentRecent int // silent connections since the last bulk retirement or quiet spell
 	lastSilent   time.Time
 	lastProgress [2]progress // latest progress of two different connections
-	latencies    [latencySamples]time.Duration
-	samples      int
+	routes       map[string]*route
+	otherRoutes  route // shared by the routes past maxRoutes
 }
 
 type progress struct {
@@ -43,6 +41,7 @@
 		address: address,
 		limiter: rate.NewLimiter(rate.Limit(cfg.NewConnsPerSecond), cfg.NewConnsBurst),
 		busy:    map[*conn]struct{}{},
+		routes:  map[string]*route{},
 	}
 }
 
@@ -206,6 +205,13 @@
 	return c, nil
 }
 
+// begin notes the route of the call that the connection is about to carry.
+func (p *path) begin(c *conn, route string) {
+	p.mu.Lock()
+	c.route = p.route(route)
+	p.mu.Unlock()
+}
+
 // release makes a connection available again after a complete exchange.
 func (p *path) release(c *conn) {
 	p.mu.Lock()
--- a/internal/transport/response.go
+++ b/internal/transport/response.go
@@ -119,6 +119,8 @@
 		return contextCause(x.ctx)
 	case x.requestBodyFailed():
 		return CauseRequestBody
+	case errors.Is(err, syscall.ETIMEDOUT):
+		return CauseSilent // the kernel's keep-alive probes were not answered
 	case isConnectionLost(err), isConnectionLost(x.c.readErr):
 		return CauseConnectionLost
 	}
--- a/internal/transport/silence.go
+++ b/internal/transport/silence.go
@@ -8,9 +8,6 @@
 // silentMemory is the time after which earlier silent connections no longer count towards SilentLimit.
 const silentMemory = 10 * time.Second
 
-// minSamples is the least number of latencies for a usable p99; below it SilentFloor applies alone.
-const minSamples = 20
-
 // progressed notes that c received bytes.
 func (p *path) progressed(c *conn, at time.Time) {
 	p.mu.Lock()
@@ -21,22 +18,20 @@
 	p.mu.Unlock()
 }
 
-// responded notes the time between the end of the request's header and the response's header.
+// responded notes the time between the start of a call and its response's header.
 func (p *path) responded(c *conn, at time.Time, latency time.Duration) {
 	p.mu.Lock()
 	c.lastResponse = at
-	p.latencies[p.samples%latencySamples] = latency
-	p.samples++
+	c.route.add(at.Add(-latency), latency)
 	p.mu.Unlock()
 }
 
 // sweep retires silent connections and closes expired idle ones.
 func (p *path) sweep(now time.Time) {
 	p.mu.Lock()
-	limit := p.silentAfter()
 	var silent, expired []*conn
 	for c := range p.busy {
-		if since, blocked := c.blockedSince(); blocked && now.Sub(since) > limit && p.othersProgressed(c, since) {
+		if p.isSilent(c, now) {
 			silent = append(silent, c)
 		}
 	}
@@ -55,15 +50,19 @@
 	}
 }
 
-// silentAfter returns the silence after which a connection is retired: the larger of the floor and 4 x p99.
-func (p *path) silentAfter() time.Duration {
-	n := min(p.samples, latencySamples)
-	if n < minSamples {
-		return p.cfg.SilentFloor
+// isSilent reports whether the call's connection is dead: its call has waited for the upstream for the floor or longer,
+// other connections progressed, and either the kernel gets no acknowledgement or the call was overtaken and has taken
+// longer than any call of its route. A call that is merely slow meets none of the two.
+func (p *path) isSilent(c *conn, now time.Time) bool {
+	since, blocked := c.blockedSince()
+	if !blocked || now.Sub(since) <= p.cfg.SilentFloor || !p.othersProgressed(c, since) {
+		return false
+	}
+	if p.cfg.pathLost(c.nc) {
+		return true
 	}
-	sorted := slices.Clone(p.latencies[:n])
-	slices.Sort(sorted)
-	return max(p.cfg.SilentFloor, 4*sorted[n*99/100])
+	limit, known := c.route.silentAfter(p.cfg.SilentFloor)
+	return known && now.Sub(since) > limit && c.route.overtaken(since)
 }
 
 // othersProgressed reports whether a connection other than c received bytes after since.
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -20,8 +20,10 @@
 	SilentLimit       int           // silent connections after which the upstream's idle ones are retired, 3
 	MaxHeaderBytes    int64         // limit of a response's header, 64 KiB
 
-	// Dial opens a connection. The default is a net.Dialer with TCP keep-alive.
+	// Dial opens a connection. The default is a net.Dialer with TCP keep-alive after 5 s.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+	pathLost func(net.Conn) bool // replaced by tests
 }
 
 func (c Config) withDefaults() Config {
@@ -35,11 +37,18 @@
 	setDefault(&c.SilentLimit, 3)
 	setDefault(&c.MaxHeaderBytes, 64<<10)
 	if c.Dial == nil {
-		c.Dial = (&net.Dialer{KeepAlive: 15 * time.Second}).DialContext
+		c.Dial = (&net.Dialer{KeepAliveConfig: keepAlive}).DialContext
+	}
+	if c.pathLost == nil {
+		c.pathLost = pathLost
 	}
 	return c
 }
 
+// keepAlive lets the kernel end a connection about 10 s after its path was lost, while no bytes wait for their
+// acknowledgement. Probes are sent only on connections that received nothing for Idle.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: time.Second, Count: 5}
+
 func setDefault[T int | int64 | float64 | time.Duration](field *T, value T) {
 	if *field <= 0 {
 		*field = value
