--- a/entry/ownership.go
+++ b/entry/ownership.go
@@ -149,10 +149,9 @@
 func (o *ownedPool) regain(now time.Time, conf *configuration, p *inventory.Pool) {
 	o.mu.Lock()
 	o.closed = false
-	o.takenOver = now
 	o.mu.Unlock()
 	o.lostAt.Store(0)
-	o.configure(conf, p)
+	o.configure(conf, p, takeover(now))
 }
 
 // finished reports whether a pool that was handed over has no calls left.
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -28,6 +28,8 @@
 	probePath = "/-/health"
 	// probeTimeout is shorter than the interval of probes, so that an upstream has at most one open probe.
 	probeTimeout = 800 * time.Millisecond
+	// lossNoticed is the time after which the loss of an owner is noticed: eight heartbeat intervals of 250 ms.
+	lossNoticed = 2 * time.Second
 )
 
 // ownedPool is a pool that this entry owns, or owned until a moment ago.
@@ -43,18 +45,16 @@
 	digest    atomic.Pointer[figures]
 	toldCold  bool // the neighbours know of cold upstreams; used by housekeeping only
 
-	mu         sync.Mutex
-	pool       *dispatch.Pool
-	conf       *configuration // that the spec was made from
-	closed     bool           // no call is taken any more
-	takenOver  time.Time      // when the ownership began; calls of a previous owner may have run then
-	configured time.Time      // when the last spec was given
-	nextID     uint64
-	waiting    map[uint64]chan<- decision
-	granted    map[uint64]*grantedCall
-	versions   map[string]string // upstream to version
-	address    map[string]string
-	stats      map[statKey]*rollout.Sample
+	mu       sync.Mutex
+	pool     *dispatch.Pool
+	conf     *configuration // that the spec was made from
+	closed   bool           // no call is taken any more
+	nextID   uint64
+	waiting  map[uint64]chan<- decision
+	granted  map[uint64]*grantedCall
+	versions map[string]string // upstream to version
+	address  map[string]string
+	stats    map[statKey]*rollout.Sample
 }
 
 // decision is what a waiting call gets.
@@ -81,14 +81,14 @@
 		connections = min(connections, u.Connections)
 	}
 	o := &ownedPool{
-		e: e, id: p.ID, key: p.ID.String(), stop: cancel, takenOver: time.Now(), configured: time.Now(),
+		e: e, id: p.ID, key: p.ID.String(), stop: cancel,
 		waiting: map[uint64]chan<- decision{}, granted: map[uint64]*grantedCall{}, stats: map[statKey]*rollout.Sample{},
 	}
 	o.transport = transport.New(transport.Config{MaxConns: connections, Dial: e.countingDial(p.ID.Service)})
 	spec := e.poolSpec(conf, p)
 	o.e.cold.mark(time.Now(), p.ID, &spec)
-	spec.TakenOver = o.takenOver
-	o.pool = dispatch.New(spec, rand.New(rand.NewSource(rand.Int63()))) //nolint:gosec // spreads probes only
+	rng := rand.New(rand.NewSource(rand.Int63())) //nolint:gosec // spreads probes only
+	o.pool = dispatch.New(spec, rng, takeover(time.Now()))
 	o.remember(conf, p)
 	o.done.Add(2)
 	go func() { defer o.done.Done(); o.transport.Run(ctx) }()
@@ -112,17 +112,21 @@
 	}
 }
 
+// takeover is what a new owner knows about the time before. The previous owner was lost at the latest when this entry
+// stopped hearing from it, so that token buckets start with the refill since then.
+func takeover(now time.Time) dispatch.Option {
+	return dispatch.WithTakeover(now, now.Add(-lossNoticed))
+}
+
 // configure takes a new configuration.
-func (o *ownedPool) configure(conf *configuration, p *inventory.Pool) {
+func (o *ownedPool) configure(conf *configuration, p *inventory.Pool, options ...dispatch.Option) {
 	spec := o.e.poolSpec(conf, p)
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.takenOver.After(o.configured) {
+	if len(options) > 0 {
 		o.e.cold.mark(time.Now(), p.ID, &spec)
 	}
-	o.configured = time.Now()
-	spec.TakenOver = o.takenOver
-	o.act(o.pool.Configure(time.Now(), spec))
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.act(o.pool.Configure(time.Now(), spec, options...))
 	o.remember(conf, p)
 }
 
--- a/internal/dispatch/configure.go
+++ b/internal/dispatch/configure.go
@@ -7,10 +7,14 @@
 )
 
 // Configure replaces the configuration. Upstreams that stay keep their health, and running calls keep their slots.
-// Upstreams that are added, come back from leaving, or belong to a pool that reopens count as cold.
-func (p *Pool) Configure(now time.Time, spec Spec) Events {
+// Upstreams that are added, come back from leaving, or belong to a pool that reopens count as cold. Options
+// apply afterwards, when the pool has come back from another owner.
+func (p *Pool) Configure(now time.Time, spec Spec, options ...Option) Events {
 	p.begin()
 	p.configure(now, spec, false)
+	for _, option := range options {
+		option(p)
+	}
 	if p.spec.Closed {
 		p.refuseQueued(now, func(*call) Reason { return ReasonClosed })
 	}
@@ -20,7 +24,6 @@
 
 func (p *Pool) configure(now time.Time, spec Spec, first bool) {
 	reopened := !first && p.spec.Closed && !spec.Closed
-	takenOver := spec.TakenOver.After(p.spec.TakenOver)
 	spec.Upstreams = slices.Clone(spec.Upstreams)
 	p.spec = spec
 	if p.service.n == 0 {
@@ -36,9 +39,6 @@
 	p.configureClasses(spec.Classes)
 	p.limits.configure(now, spec.Limits)
 	p.configureUpstreams(now, spec.Upstreams, first, reopened)
-	if takenOver {
-		p.settle(spec.TakenOver.Add(settleTime))
-	}
 	p.keepHalf()
 }
 
@@ -128,6 +128,7 @@
 	g.members = slices.DeleteFunc(g.members, func(m *upstream) bool { return m == u })
 	u.group = nil
 	u.routes = [maxRoutes]routeStat{}
+	u.pastFailures = past{}
 	if len(g.members) == 0 {
 		p.groups = slices.DeleteFunc(p.groups, func(x *group) bool { return x == g })
 	}
--- a/internal/dispatch/takeover_test.go
+++ b/internal/dispatch/takeover_test.go
@@ -10,9 +10,9 @@
 
 func takenOverPool(now time.Time) *Pool {
 	p := New(Spec{
-		TakenOver: now, Classes: []ClassSpec{{Name: "c"}},
+		Classes:   []ClassSpec{{Name: "c"}},
 		Upstreams: []UpstreamSpec{{Name: "a", Address: "a", Version: "1", Slots: 3, Cold: true}},
-	}, rand.New(rand.NewSource(1)))
+	}, rand.New(rand.NewSource(1)), WithTakeover(now, now))
 	p.SetConfirmed(now, now.Add(time.Hour))
 	return p
 }
@@ -36,12 +36,12 @@
 }
 
 // Guards against an upstream that gets nothing for good because its reports are missing.
-func TestTakenOverColdUpstreamIsUsedAfterSettleTime(t *testing.T) {
+func TestTakenOverColdUpstreamIsUsedAfterTakeoverWait(t *testing.T) {
 	now := time.Unix(1000, 0)
 	p := takenOverPool(now)
-	p.Tick(now.Add(settleTime - time.Millisecond))
-	assert.Zero(t, grantsOf(p, now.Add(settleTime-time.Millisecond), 1))
-	later := now.Add(settleTime + time.Second)
+	p.Tick(now.Add(takeoverWait - time.Millisecond))
+	assert.Zero(t, grantsOf(p, now.Add(takeoverWait-time.Millisecond), 1))
+	later := now.Add(takeoverWait + time.Second)
 	p.Tick(later)
 	assert.Equal(t, 1, grantsOf(p, later, 2))
 }
@@ -49,15 +49,14 @@
 // Guards against the delay of warm upstreams, and against a pool that is taken back as if nothing had happened meanwhile.
 func TestTakeOverOfWarmPool(t *testing.T) {
 	now := time.Unix(1000, 0)
-	spec := Spec{Classes: []ClassSpec{{Name: "c"}}, Upstreams: []UpstreamSpec{{Name: "a", Address: "a", Version: "1", Slots: 3}}, TakenOver: now}
-	p := New(spec, rand.New(rand.NewSource(1)))
+	spec := Spec{Classes: []ClassSpec{{Name: "c"}}, Upstreams: []UpstreamSpec{{Name: "a", Address: "a", Version: "1", Slots: 3}}}
+	p := New(spec, rand.New(rand.NewSource(1)), WithTakeover(now, now))
 	p.SetConfirmed(now, now.Add(time.Hour))
 	assert.Equal(t, 1, grantsOf(p, now, 1))
 	spec.Upstreams[0].Cold = true
 	p.Configure(now, spec)
 	assert.Equal(t, Healthy, p.Upstreams(now)[0].Health, "the mark counts at a takeover only")
-	spec.TakenOver = now.Add(time.Second)
-	p.Configure(now.Add(time.Second), spec)
+	p.Configure(now.Add(time.Second), spec, WithTakeover(now.Add(time.Second), now))
 	assert.Equal(t, Cold, p.Upstreams(now.Add(time.Second))[0].Health)
 	assert.Zero(t, grantsOf(p, now.Add(time.Second), 2))
 }
