--- a/entry/ownership.go
+++ b/entry/ownership.go
@@ -64,9 +64,15 @@
 	return o
 }
 
+// ownsOnView reports whether this entry owns the pool by its own view. A pool stays where it is while no entry may own it,
+// which is so when the last entry stops.
 func (e *Entry) ownsOnView(id inventory.PoolID) bool {
 	owner, ok := e.node.View().Owners.Owner(membership.PoolID(id))
-	return ok && owner.Incarnation == e.Incarnation()
+	if !ok {
+		o := e.ownership.find(id.String())
+		return o != nil && o.lostAt.Load() == 0
+	}
+	return owner.Incarnation == e.Incarnation()
 }
 
 // reconcile opens, configures and retires pools so that they match the configuration and the view.
--- a/entry/pools.go
+++ b/entry/pools.go
@@ -178,10 +178,10 @@
 // entries know its new owner.
 func (p pools) place(id inventory.PoolID, version string) (proxy.Pool, bool) {
 	pool := proxy.Pool{ID: id.String(), Version: version}
-	owner, ok := p.e.node.View().Owners.Owner(membership.PoolID(id))
-	if ok && owner.Incarnation == p.e.Incarnation() || p.e.ownership.handingOver(pool.ID) {
+	if p.e.ownsOnView(id) || p.e.ownership.handingOver(pool.ID) {
 		return pool, true
 	}
+	owner, ok := p.e.node.View().Owners.Owner(membership.PoolID(id))
 	pool.Owner = owner.PeerAddress
 	return pool, ok && owner.PeerAddress != ""
 }
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -171,3 +171,19 @@
 	got := <-slow
 	assert.False(t, got.err == nil && got.outcome == "done")
 }
+
+// Guards against refusals to callers that hold the address of the last entry while it stops.
+func TestLastEntryServesWhileItStops(t *testing.T) {
+	w := newWorld(t)
+	w.upstream("u1", emulator.Config{})
+	w.apply(w.inventory("", target{"u1", "dc-1", "1"}))
+	e := w.entry("e1", "dc-1", func(s *Settings) { s.AddressKeepSeconds = 3 })
+	w.settled(e)
+	e.stop()
+	w.eventually("the stop begins", func() bool { return e.node.View().Self.Leaving })
+	for end := time.Now().Add(2 * keepServing); time.Now().Before(end); {
+		w.call(e, http.MethodGet, "/x", nil).assertDone(t)
+	}
+	<-e.done
+	assert.NoError(t, e.err)
+}
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -33,7 +33,7 @@
 
 // world runs entries, a platform and upstreams in one process, over loopback.
 type world struct {
-	t        *testing.T
+	t        testing.TB
 	platform *standin.Server
 	web      *httptest.Server
 	client   *http.Client
@@ -52,7 +52,7 @@
 	err       error
 }
 
-func newWorld(t *testing.T) *world {
+func newWorld(t testing.TB) *world {
 	w := &world{t: t, platform: standin.New(nil), ups: map[string]*emulator.Server{}, client: &http.Client{Transport: &http.Transport{
 		MaxIdleConnsPerHost: 64,
 	}}}
