--- a/client/client.go
+++ b/client/client.go
@@ -27,7 +27,7 @@
 )
 
 const (
-	defaultDeadline = 30 * time.Second
+	defaultDeadline = 30 * time.Second // of calls without one
 	defaultAttempts = 4
 	defaultBuffer   = 64 << 10
 	// resendPause is the pause before a resend to the entry that just failed, so that a restart can be over.
@@ -50,9 +50,6 @@
 	if s.Service == "" {
 		return nil, errors.New("client: no service is given")
 	}
-	if s.Deadline == 0 {
-		s.Deadline = defaultDeadline
-	}
 	if s.MaxAttempts == 0 {
 		s.MaxAttempts = defaultAttempts
 	}
@@ -89,7 +86,11 @@
 	if err != nil {
 		return nil, err
 	}
-	t := &try{c: c, call: call, deadline: time.Now().Add(call.Deadline), tried: map[string]bool{}}
+	limit := call.Deadline
+	if limit == 0 {
+		limit = defaultDeadline
+	}
+	t := &try{c: c, call: call, deadline: time.Now().Add(limit), tried: map[string]bool{}}
 	t.maySent = call.Resend
 	return t.run(ctx), nil
 }
--- a/client/try.go
+++ b/client/try.go
@@ -243,7 +243,9 @@
 }
 
 func (t *try) headers(h http.Header, remaining time.Duration) {
-	h.Set(headerDeadline, strconv.FormatInt(max(1, min(remaining.Milliseconds(), 600_000)), 10))
+	if t.call.Deadline > 0 {
+		h.Set(headerDeadline, strconv.FormatInt(max(1, min(remaining.Milliseconds(), 600_000)), 10))
+	}
 	h.Set(headerIdempotent, strconv.FormatBool(t.idempotent()))
 	set := func(name, value string) {
 		if value != "" {
--- a/client/types.go
+++ b/client/types.go
@@ -32,7 +32,9 @@
 	Customer string
 	Class    string
 	Host     string        // Host header; the service's host if it has one
-	Deadline time.Duration // 30 s
+	// Deadline is told to the entries. Zero tells none, so that the deadline of the request class holds; the client gives
+	// such calls up after 30 s. Set it for urgent calls: an entry that is silent for half of it is given up.
+	Deadline time.Duration
 	// AllDataCentres spreads calls over all addresses of the answer, not only over those of the nearest data centre.
 	AllDataCentres bool
 	MaxAttempts    int // 4
@@ -53,7 +55,7 @@
 	Class    string // the client's, else that of the route
 	// Idempotent calls may run more than once. nil: GET, HEAD, OPTIONS, PUT and DELETE.
 	Idempotent *bool
-	Deadline   time.Duration // the client's
+	Deadline   time.Duration // told to the entries; zero is that of the Settings
 	// RequestID replaces the one that the client would choose. Only a caller that keeps IDs across restarts needs it.
 	RequestID string
 	// Resend says that an earlier process may have sent the call with this RequestID.
