--- a/client/types.go
+++ b/client/types.go
@@ -31,7 +31,7 @@
 	// Defaults of the calls.
 	Customer string
 	Class    string
-	Host     string        // Host header; the service's host if it has one
+	Host     string // Host header; the service's host if it has one
 	// Deadline is told to the entries. Zero tells none, so that the deadline of the request class holds; the client gives
 	// such calls up after 30 s. Set it for urgent calls: an entry that is silent for half of it is given up.
 	Deadline time.Duration
--- a/internal/load/records.go
+++ b/internal/load/records.go
@@ -74,7 +74,7 @@
 	case sum.Begun > 1:
 		r.Doubled++
 		r.example(c, "doubled", sum)
-	case c.outcome == client.Done && sum.Completed == 0:
+	case c.outcome == client.Done && c.status < 500 && sum.Completed == 0:
 		r.Lost++
 		r.example(c, "lost", sum)
 	case c.outcome == client.NotRun && sum.Begun > 0:
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -49,7 +49,7 @@
 // Records holds what the upstreams' execution records say about calls that are not idempotent.
 type Records struct {
 	Calls    int      `json:"calls"`
-	Lost     int      `json:"lost"`     // done for the caller, and no upstream completed it
+	Lost     int      `json:"lost"`     // done for the caller without a server error, and no upstream completed it
 	Doubled  int      `json:"doubled"`  // begun more than once
 	FalseNot int      `json:"falseNot"` // "not run" for the caller, and an upstream began it
 	Examples []string `json:"examples,omitempty"`
