--- a/client/client.go
+++ b/client/client.go
@@ -91,7 +91,9 @@
 		limit = defaultDeadline
 	}
 	t := &try{c: c, call: call, deadline: time.Now().Add(limit), tried: map[string]bool{}}
-	t.maySent = call.Resend
+	if call.Resend {
+		t.maySent, t.doubt = true, ReasonResend
+	}
 	return t.run(ctx), nil
 }
 
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -241,6 +241,7 @@
 		}
 		r = do(t, n.client(t, nil), order)
 		assert.Equal(t, Unknown, r.Outcome)
+		assert.Equal(t, ReasonConnectionLost, r.Reason)
 		ids := map[string]bool{}
 		for _, e := range n.entries {
 			for _, call := range e.calls {
@@ -252,6 +253,12 @@
 		n = newNetwork("a1:1")
 		n.entries["a1:1"].answer = func(int, *http.Request) (*http.Response, error) { return response(409, "unknown", ""), nil }
 		assert.Equal(t, 1, do(t, n.client(t, nil), order).Attempts, "the record's answer stays the same")
+
+		n.entries["a1:1"].answer = func(int, *http.Request) (*http.Response, error) { return response(429, "not-run", ""), nil }
+		r = do(t, n.client(t, nil), Call{Method: "POST", Path: "/bench/orders", RequestID: "order-7", Resend: true})
+		assert.Equal(t, Unknown, r.Outcome, "an earlier process may have had it run")
+		assert.Equal(t, ReasonResend, r.Reason)
+		assert.Equal(t, "order-7", r.RequestID)
 	})
 }
 
--- a/client/try.go
+++ b/client/try.go
@@ -24,6 +24,7 @@
 	id      string // request ID in use
 	givenUp []string
 	home    Address // address whose prefix the ID carries
+	doubt   string  // reason of the last attempt that may have been run
 	maySent bool    // an attempt with this ID may have reached an upstream, and nothing proves the contrary
 }
 
@@ -36,7 +37,7 @@
 		r.Attempts, r.RequestID, r.GivenUp = t.attempts, t.id, t.givenUp
 		if r.Outcome == NotRun && t.maySent {
 			// This attempt was not run, but an earlier one may have been.
-			r.Outcome = Unknown
+			r.Outcome, r.Reason = Unknown, t.doubt
 		}
 		if !again || t.attempts >= t.c.settings.MaxAttempts || time.Until(t.deadline) <= pause {
 			return r
@@ -106,6 +107,7 @@
 	if ctx.Err() != nil || !time.Now().Before(t.deadline) {
 		reason = ReasonDeadline
 	}
+	t.doubt = reason
 	r := t.without(reason, err)
 	r.Outcome, r.Address = Unknown, a.Address
 	if t.idempotent() {
@@ -126,7 +128,7 @@
 		t.tried[r.Address] = true
 		return true, max(r.RetryAfter, resendPause)
 	default:
-		t.maySent = true
+		t.maySent, t.doubt = true, r.Reason
 		t.tried[r.Address] = true
 		// For other calls the entry answered from its record; asking again gives the same answer.
 		return t.idempotent() && !r.Retried, max(r.RetryAfter, resendPause)
--- a/client/types.go
+++ b/client/types.go
@@ -22,6 +22,7 @@
 	ReasonConnectFailed  = "connect-failed"  // no connection to an entry
 	ReasonConnectionLost = "connection-lost" // the connection to the entry was lost
 	ReasonDeadline       = "deadline"        // the deadline passed or the context ended
+	ReasonResend         = "resend"          // an earlier process may have sent the call
 )
 
 // Settings of a Client. Zero fields take the defaults named beside them.
