Register opaque request IDs at one data centre

Change: the home data centre follows from the ID and the inventory's data centres; entries elsewhere pass the call on to the home. While no entry of the home is known, the answer is unknown, or not run for a marked first attempt. After a change of the data centres, IDs whose home moved are unknown for the retention time.

Figures: TestOpaqueIDRunsOnceAcrossDataCentres fails without the rule and passes with it.

Conclusion: one record per ID over all data centres. Left open: an entry that started after the inventory's data centres changed doesn't know the earlier home of an ID.

--- a/entry/configuration.go
+++ b/entry/configuration.go
@@ -68,6 +68,7 @@
 		next.snap = last.snap
 	} else {
 		next.snap = inventory.NewSnapshot(v.Version.Offset, v.Version.Inventory)
+		e.registrar.dataCentres.set(time.Now(), next.snap.DataCentres())
 	}
 	e.buildChoosers(next)
 	e.conf.Store(next)
--- a/entry/once_test.go
+++ b/entry/once_test.go
@@ -196,3 +196,26 @@
 	w.eventually("the cold upstream serves again", func() bool { return w.call(next, http.MethodGet, "/x", nil).outcome == "done" })
 	assert.Zero(t, u.State().Overloads)
 }
+
+// Guards against a second run of a call whose caller made up the request ID and sends it again to another data centre:
+// each data centre would otherwise keep a record of its own.
+func TestOpaqueIDRunsOnceAcrossDataCentres(t *testing.T) {
+	w := newWorld(t)
+	w.upstream("u1", emulator.Config{Slots: 4})
+	w.upstream("u2", emulator.Config{Slots: 4})
+	w.apply(w.inventory("", target{"u1", "dc-1", "1"}, target{"u2", "dc-2", "1"}))
+	list := []*runningEntry{w.entry("e1", "dc-1"), w.entry("e2", "dc-2")}
+	w.settled(list...)
+	homes := map[string]int{}
+	for i := range 20 {
+		id := fmt.Sprintf("made-up-%d", i)
+		home, _ := list[0].registrar.dataCentres.of(time.Now(), id)
+		homes[home]++
+		first := w.call(list[i%2], http.MethodPost, "/orders/1", map[string]string{"Boragehinge-Request-Id": id, "Boragehinge-First-Attempt": "true"})
+		require.Equal(t, "done", first.outcome, first.reason)
+		again := w.call(list[1-i%2], http.MethodPost, "/orders/1", map[string]string{"Boragehinge-Request-Id": id})
+		require.Equal(t, "done", again.outcome, again.reason)
+		require.Equal(t, 1, w.executions(id))
+	}
+	require.Len(t, homes, 2, "both data centres register IDs")
+}
--- a/entry/registrar.go
+++ b/entry/registrar.go
@@ -27,7 +27,9 @@
 	e        *Entry
 	registry *idempotency.Registry
 	homes    *idempotency.Homes
-	adopted  atomic.Bool // the members that were lost within the retention are known
+	// dataCentres chooses the data centre of opaque IDs, homes the entry of the own one.
+	dataCentres homeDataCentres
+	adopted     atomic.Bool // the members that were lost within the retention are known
 
 	moved atomic.Pointer[map[string]movedRecords] // by incarnation that stopped as planned; changes copy it
 
@@ -74,6 +76,9 @@
 	if _, known := r.registry.Lookup(now, c.RequestID); known {
 		return r.verdict(r.registry.Begin(now, c.RequestID))
 	}
+	if v, elsewhere := r.otherDataCentre(now, c); elsewhere {
+		return v
+	}
 	place := r.homes.Place(now, c.RequestID, c.FirstAttempt)
 	if place.Home != r.e.Incarnation() {
 		return r.elsewhere(place.Home)
--- a/internal/idempotency/homes.go
+++ b/internal/idempotency/homes.go
@@ -170,9 +170,14 @@
 
 // Successor returns the member that takes over the records of an incarnation that stops, or "" without members.
 func Successor(incarnation string, members []string) string {
+	return Preferred(incarnation, slices.DeleteFunc(slices.Clone(members), func(m string) bool { return m == incarnation }))
+}
+
+// Preferred returns the name that rendezvous hashing gives a key, or "" without names. Homes uses the same order.
+func Preferred(key string, names []string) string {
 	best := ""
-	for _, m := range members {
-		if m != incarnation && (best == "" || weight(m, incarnation) > weight(best, incarnation)) {
+	for _, m := range names {
+		if best == "" || weight(m, key) > weight(best, key) {
 			best = m
 		}
 	}
