--- a/internal/settings/redact.go
+++ b/internal/settings/redact.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"strings"
@@ -11,7 +12,9 @@
 	data, err := json.Marshal(s) // the type has no method that json.Marshal would call
 	var values map[string]any
 	if err == nil {
-		err = json.Unmarshal(data, &values)
+		d := json.NewDecoder(bytes.NewReader(data))
+		d.UseNumber() // whole numbers keep their digits
+		err = d.Decode(&values)
 	}
 	if err != nil {
 		return "settings can't be shown: " + err.Error()
