--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -54,6 +54,8 @@
 		assert.InDelta(t, 3, float64(r.Kinds[0].Calls)/float64(r.Kinds[1].Calls), 0.4)
 		assert.InDelta(t, 1000, len(calls)-total, 150)
 		assert.InDelta(t, 1, r.Kinds[0].P50Ms, 0.1)
+		require.Len(t, r.Classes, 1)
+		assert.Equal(t, total, r.Classes[0].Calls)
 		assert.Greater(t, r.Kinds[0].P99Ms, 900.0, "a quarter of the calls were due during the stall")
 		assert.InDelta(t, 1000, r.Kinds[0].MaxMs, 10)
 
@@ -90,10 +92,10 @@
 	end := func(outcome client.Outcome, ids ...string) *call { return &call{kind: 1, outcome: outcome, ids: ids} }
 	records, err := readRecords(t.Context(), o, []*call{
 		end(client.Done, "once"), end(client.Done, "twice"), end(client.Done, "never"), end(client.NotRun, "refused"),
-		end(client.Unknown, "unknown"), end(client.Done, "refused", "once"), {kind: 0, outcome: client.Done, ids: []string{"twice"}},
+		{kind: 1, outcome: client.Done, status: 504, ids: []string{"past its deadline"}}, end(client.Unknown, "unknown"), end(client.Done, "refused", "once"), {kind: 0, outcome: client.Done, ids: []string{"twice"}},
 	})
 	require.NoError(t, err)
-	assert.Equal(t, [4]int{6, 1, 2, 1}, [4]int{records.Calls, records.Lost, records.Doubled, records.FalseNot}, records.Examples)
+	assert.Equal(t, [4]int{7, 1, 2, 1}, [4]int{records.Calls, records.Lost, records.Doubled, records.FalseNot}, records.Examples)
 	_, err = readRecords(t.Context(), Options{Upstreams: []string{"127.0.0.1:1"}}, nil)
 	assert.Error(t, err)
 }
@@ -116,12 +118,18 @@
 	}
 }
 
+// network returns the first three bytes of loopback addresses that no other test process uses.
+func network() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.", 64+pid%128, pid/128%256)
+}
+
 // Guards against a tool that measures something else than the installation: all kinds through entries and direct, with
 // whole responses, and every order run exactly once.
 func TestAgainstAnInstallation(t *testing.T) {
 	text, err := os.ReadFile("../../examples/yeux-clairs.yaml")
 	require.NoError(t, err)
-	inv, findings := inventory.Check("", []byte(strings.NewReplacer("127.0.1.", "127.0.53.").Replace(string(text))), time.Now())
+	inv, findings := inventory.Check("", []byte(strings.NewReplacer("127.0.1.", network()).Replace(string(text))), time.Now())
 	require.Empty(t, findings)
 	in, err := dev.Start(t.Context(), dev.Options{Inventory: inv, Seed: 1})
 	require.NoError(t, err)
@@ -137,6 +145,9 @@
 		Duration: 2 * time.Second, Seed: 3, Records: true, Customers: []string{"opticians"},
 	}
 	require.Len(t, o.Kinds, 3)
+	classes, ofKind := classReports(o.Kinds)
+	require.Len(t, classes, 2)
+	assert.Equal(t, []string{"class urgent", "class urgent", "class ordinary"}, []string{ofKind[0].Name, ofKind[1].Name, ofKind[2].Name})
 	for _, u := range service.Upstreams {
 		o.Upstreams = append(o.Upstreams, u.Address)
 	}
