--- a/internal/capacity/latency.go
+++ b/internal/capacity/latency.go
@@ -3,16 +3,25 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"time"
 )
 
+const kindNone = "without a balancer"
+
+// latencyKinds are the kinds of calls that are compared.
+var latencyKinds = []string{kindNone, kindDirect, kindForwarded}
+
 // latencyQuantiles are the percentiles that are compared.
 var latencyQuantiles = []float64{50, 99, 99.9}
 
+// latencyRate is the number of calls per second of all kinds together.
+const latencyRate = 2000
+
 // measureLatency compares calls through the owner, and through an ingress and the owner, with calls that the client
-// sends to the same upstreams itself, in turns and at the same rate of 2,000 calls/s.
+// sends to the same upstreams itself. All kinds run at the same time, so that a busy machine delays them alike.
 func measureLatency(ctx context.Context, o Options, r *Report) error {
-	for _, callers := range []int{10, 100, 1000} {
+	for _, callers := range []int{12, 99, 999} {
 		w, err := o.newWorld(ctx, 25, 64, 32)
 		if err != nil {
 			return err
@@ -27,38 +36,58 @@
 }
 
 func measureLatencyAt(ctx context.Context, o Options, r *Report, w *world, callers int) error {
-	run := callRun{callers: callers, serviceMs: callers / 2}
+	// The service time follows the number of callers, so that the rate stays the same.
+	run := callRun{callers: callers / len(latencyKinds), serviceMs: 1000 * callers / latencyRate}
 	spread := time.Duration(run.serviceMs) * time.Millisecond
-	kinds := []string{"without a balancer", kindDirect, kindForwarded}
 	loads := map[string]*load{}
-	for _, kind := range kinds {
+	for _, kind := range latencyKinds {
 		run.kind = kind
 		loads[kind] = run.load(w)
-		if kind == kinds[0] {
+		if kind == kindNone {
 			loads[kind].addresses = w.upstreams.started.Addresses
 		}
-		loads[kind].run(ctx, max(time.Second, 3*spread), spread)
+		defer loads[kind].client.CloseIdleConnections()
 	}
+	runTogether(ctx, loads, max(time.Second, 3*spread), spread)
 	for range o.Repeats {
-		base := map[float64]float64{}
-		for _, kind := range kinds {
-			res := loads[kind].run(ctx, o.Time, spread)
-			x := float64(callers)
-			for _, q := range latencyQuantiles {
-				v := float64(res.latency.ValueAtQuantile(q)) / 1000
-				if kind == kinds[0] {
-					base[q] = v
-					r.add("latency", fmt.Sprintf("p%v, %s", q, kind), "ms", "concurrent calls", x, v)
-					continue
-				}
-				r.add("latency", fmt.Sprintf("added at p%v, %s", q, kind), "ms", "concurrent calls", x, v-base[q])
-			}
-			r.add("latency", "rate, "+kind, "1/s", "concurrent calls", x, float64(res.calls)/res.seconds)
-			r.add("latency", "failed, "+kind, "calls", "concurrent calls", x, float64(res.failed))
+		results := runTogether(ctx, loads, o.Time, spread)
+		for _, kind := range latencyKinds {
+			addLatency(r, kind, float64(callers), results[kind], results[kindNone])
 		}
 	}
-	for _, l := range loads {
-		l.client.CloseIdleConnections()
-	}
 	return nil
 }
+
+func addLatency(r *Report, kind string, x float64, res, base loadResult) {
+	add := func(name, unit string, v float64) { r.add("latency", name+", "+kind, unit, "concurrent calls", x, v) }
+	for _, q := range latencyQuantiles {
+		v, b := res.millisAt(q), base.millisAt(q)
+		if kind == kindNone {
+			add(fmt.Sprintf("p%v", q), "ms", v)
+		} else {
+			add(fmt.Sprintf("added at p%v", q), "ms", v-b)
+		}
+	}
+	add("rate", "1/s", float64(res.calls)/res.seconds)
+	add("failed", "calls", float64(res.failed))
+}
+
+func (r loadResult) millisAt(quantile float64) float64 {
+	return float64(r.latency.ValueAtQuantile(quantile)) / 1000
+}
+
+func runTogether(ctx context.Context, loads map[string]*load, d, spread time.Duration) map[string]loadResult {
+	results := map[string]loadResult{}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for kind, l := range loads {
+		wg.Go(func() {
+			res := l.run(ctx, d, spread)
+			mu.Lock()
+			defer mu.Unlock()
+			results[kind] = res
+		})
+	}
+	wg.Wait()
+	return results
+}
--- a/internal/capacity/role.go
+++ b/internal/capacity/role.go
@@ -84,7 +84,7 @@
 }
 
 // serviceTimes are the fixed service times that a path chooses, for example /service-00/lookups/t5/.
-var serviceTimes = []int{0, 1, 2, 5, 10, 25, 50, 100, 500, 1000, 20000}
+var serviceTimes = []int{0, 5, 6, 25, 49, 50, 499, 500, 20000}
 
 func callPath(kind string, ms int) string { return fmt.Sprintf("/service-00/%s/t%d/x", kind, ms) }
 
--- a/internal/plot/axes.go
+++ b/internal/plot/axes.go
@@ -50,3 +50,11 @@
 	}
 	return slices.DeleteFunc(out, func(t plot.Tick) bool { return t.Value < lowest*0.999 || t.Value > highest*1.001 })
 }
+
+func labelled(xs []float64) []plot.Tick {
+	var out []plot.Tick
+	for _, x := range xs {
+		out = append(out, plot.Tick{Value: x, Label: strconv.FormatFloat(x, 'f', -1, 64)})
+	}
+	return out
+}
--- a/internal/plot/chart.go
+++ b/internal/plot/chart.go
@@ -37,6 +37,8 @@
 type Chart struct {
 	Title, X, Y string
 	LogX, LogY  bool
+	RangeY      [2]float64 // of the Y axis; zero means by the values
+	TicksX      []float64  // labelled values; empty means chosen ones
 	Curves      []Curve
 	Bounds      []Bound
 	Legend      bool
@@ -142,6 +144,9 @@
 
 // scale sets the axes. Linear Y axes start at 0, so that heights can be compared.
 func (c Chart) scale(p *plot.Plot, xs []float64) {
+	if len(c.TicksX) > 0 {
+		p.X.Tick.Marker = plot.ConstantTicks(labelled(c.TicksX))
+	}
 	if c.LogX {
 		p.X.Scale, p.X.Tick.Marker = plot.LogScale{}, plot.ConstantTicks(ticksAt(xs))
 	}
@@ -149,6 +154,9 @@
 		p.Y.Scale, p.Y.Tick.Marker = plot.LogScale{}, logTicks{}
 		p.Y.Min = math.Pow(10, math.Floor(math.Log10(p.Y.Min)))
 		p.Y.Max = math.Pow(10, math.Ceil(math.Log10(p.Y.Max*1.05)))
+		if c.RangeY[1] > 0 {
+			p.Y.Min, p.Y.Max = c.RangeY[0], c.RangeY[1]
+		}
 		return
 	}
 	p.Y.Min = min(0, p.Y.Min)
--- a/internal/plot/simulate.go
+++ b/internal/plot/simulate.go
@@ -81,7 +81,8 @@
 	}
 	var charts []Chart
 	for i, class := range classes {
-		c := Chart{Title: class + " calls", X: "offered load, % of the capacity", Y: "p99 latency, ms", LogY: true, Legend: i == 0}
+		c := Chart{Title: class + " calls", X: "offered load, % of the capacity", Y: "p99 latency, ms", LogY: true, Legend: i == 0, RangeY: [2]float64{10, 10_000},
+			TicksX: []float64{50, 60, 70, 80, 90, 100, 110, 120}}
 		for _, policy := range simulate.Policies {
 			c.Curves = append(c.Curves, Curve{Name: policy, Points: values.points(class + "/" + policy)})
 		}
