--- a/internal/capacity/calls.go
+++ b/internal/capacity/calls.go
@@ -79,7 +79,7 @@
 }
 
 func measureCallRates(ctx context.Context, o Options, r *Report) error {
-	w, err := o.newWorld(ctx, 25, 16, 32)
+	w, err := o.newWorld(ctx, 25, 16)
 	if err != nil {
 		return err
 	}
@@ -103,7 +103,7 @@
 }
 
 func measureCallsAt(ctx context.Context, o Options, r *Report, run callRun, upstreams, slotsEach int, size string, x float64) error {
-	w, err := o.newWorld(ctx, upstreams, slotsEach, 32)
+	w, err := o.newWorld(ctx, upstreams, slotsEach)
 	if err != nil {
 		return err
 	}
@@ -140,7 +140,7 @@
 
 // measureBodies fits the CPU time of a call to the size of its response.
 func measureBodies(ctx context.Context, o Options, r *Report) error {
-	w, err := o.newWorld(ctx, 25, 16, 32)
+	w, err := o.newWorld(ctx, 25, 16)
 	if err != nil {
 		return err
 	}
--- a/internal/capacity/connections.go
+++ b/internal/capacity/connections.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+
+	"boragehinge.example/boragehinge/inventory"
 )
 
 // measureConnections counts the connections of upstreams whose slots are all busy, with one owner and with two owners
@@ -19,12 +21,12 @@
 }
 
 func measureConnectionsAt(ctx context.Context, o Options, r *Report, slotsEach int) error {
-	w, err := o.newWorld(ctx, 25, slotsEach, 32)
+	w, err := o.newWorld(ctx, 25, slotsEach)
 	if err != nil {
 		return err
 	}
 	defer w.stop()
-	second, err := o.start(ctx, roleSettings{Role: "entry", Slots: slotsEach, PoolSize: 32, Addresses: w.upstreams.started.Addresses})
+	second, err := o.start(ctx, roleSettings{Role: "entry", Slots: slotsEach, PoolSize: inventory.MaxShardUpstreams, Addresses: w.upstreams.started.Addresses})
 	if err != nil {
 		return err
 	}
--- a/internal/capacity/latency.go
+++ b/internal/capacity/latency.go
@@ -22,7 +22,7 @@
 // sends to the same upstreams itself. All kinds run at the same time, so that a busy machine delays them alike.
 func measureLatency(ctx context.Context, o Options, r *Report) error {
 	for _, callers := range []int{12, 99, 999} {
-		w, err := o.newWorld(ctx, 25, 64, 32)
+		w, err := o.newWorld(ctx, 25, 64)
 		if err != nil {
 			return err
 		}
--- a/internal/capacity/memory.go
+++ b/internal/capacity/memory.go
@@ -42,7 +42,7 @@
 
 func measureIdleConnections(ctx context.Context, o Options, r *Report) error {
 	for _, n := range []int{200, 1000, 2000} {
-		w, err := o.newWorld(ctx, 6, 16, 32)
+		w, err := o.newWorld(ctx, 6, 16)
 		if err != nil {
 			return err
 		}
@@ -96,7 +96,7 @@
 // measureHeld holds n calls open and reads the memory of ingress and owner. With deliver, the client reads the start
 // of each response and then stops, so that the calls stream against a full connection.
 func measureHeld(ctx context.Context, o Options, r *Report, what, path string, slotsEach, n int, deliver bool) error {
-	w, err := o.newWorld(ctx, 25, slotsEach, 32)
+	w, err := o.newWorld(ctx, 25, slotsEach)
 	if err != nil {
 		return err
 	}
--- a/internal/capacity/process.go
+++ b/internal/capacity/process.go
@@ -8,6 +8,8 @@
 	"io"
 	"os"
 	"os/exec"
+
+	"boragehinge.example/boragehinge/inventory"
 )
 
 // process is a running process of an experiment.
@@ -74,13 +76,13 @@
 	upstreams, owner, ingress *process
 }
 
-func (o Options) newWorld(ctx context.Context, count, slotsEach, poolSize int) (*world, error) {
+func (o Options) newWorld(ctx context.Context, count, slotsEach int) (*world, error) {
 	w := &world{}
 	var err error
 	if w.upstreams, err = o.start(ctx, roleSettings{Role: "upstreams", Count: count, Slots: slotsEach}); err != nil {
 		return nil, err
 	}
-	set := roleSettings{Role: "entry", Slots: slotsEach, PoolSize: poolSize, Addresses: w.upstreams.started.Addresses}
+	set := roleSettings{Role: "entry", Slots: slotsEach, PoolSize: inventory.MaxShardUpstreams, Addresses: w.upstreams.started.Addresses}
 	if w.owner, err = o.start(ctx, set); err != nil {
 		w.stop()
 		return nil, err
--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -6,6 +6,7 @@
 	"io"
 	"math"
 	"slices"
+	"strings"
 	"text/tabwriter"
 )
 
@@ -90,21 +91,25 @@
 
 // WriteTable writes one block per experiment with the median, the range and the fit of each series.
 func (r *Report) WriteTable(w io.Writer) error {
-	fmt.Fprintf(w, "machine: %d CPUs, %d MB, %s, load average %.1f before and %.1f after\n",
+	var text strings.Builder
+	fmt.Fprintf(&text, "machine: %d CPUs, %d MB, %s, load average %.1f before and %.1f after\n",
 		r.Machine.CPUs, r.Machine.MemoryMB, r.Machine.GoVersion, first(r.Machine.LoadBefore), first(r.Machine.LoadAfter))
 	experiment := ""
-	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	for _, s := range r.Series {
 		if s.Experiment != experiment {
 			experiment = s.Experiment
-			fmt.Fprintf(tw, "\n[%s]\n", experiment)
+			fmt.Fprintf(&text, "\n[%s]\n", experiment)
 		}
-		writeSeries(tw, s)
+		s.write(&text)
 	}
-	return tw.Flush()
+	columns := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	if _, err := io.WriteString(columns, text.String()); err != nil {
+		return err
+	}
+	return columns.Flush()
 }
 
-func writeSeries(w io.Writer, s *Series) {
+func (s Series) write(w *strings.Builder) {
 	for _, p := range s.Points() {
 		fmt.Fprintf(w, "%s\t%s=%s\t%s %s\t[%s to %s]\t%d runs\n", s.Name, s.Size, number(p.X), number(p.Median), s.Unit,
 			number(p.Min), number(p.Max), p.Runs)
--- a/internal/capacity/run.go
+++ b/internal/capacity/run.go
@@ -94,7 +94,9 @@
 		if len(o.Experiments) > 0 && !slices.Contains(o.Experiments, e.name) {
 			continue
 		}
-		fmt.Fprintf(o.Progress, "%s %s\n", time.Now().Format(time.TimeOnly), e.name)
+		if _, err := fmt.Fprintf(o.Progress, "%s %s\n", time.Now().Format(time.TimeOnly), e.name); err != nil {
+			return fmt.Errorf("write the progress: %w", err)
+		}
 		if err := e.run(ctx, o, r); err != nil {
 			return fmt.Errorf("%s: %w", e.name, err)
 		}
