--- a/internal/capacity/run.go
+++ b/internal/capacity/run.go
@@ -67,6 +67,7 @@
 	{"log", measureLog},
 	{"addresses", measureAddresses},
 	{"connections", measureConnections},
+	{"links", measureLinks},
 }
 
 // Names returns the names of all experiments, in the order in which they run.
