--- a/internal/capacity/run.go
+++ b/internal/capacity/run.go
@@ -68,6 +68,8 @@
 	{"addresses", measureAddresses},
 	{"connections", measureConnections},
 	{"links", measureLinks},
+	{"messages", measureMessages},
+	{"start", measureStart},
 }
 
 // Names returns the names of all experiments, in the order in which they run.
