--- a/internal/capacity/messages.go
+++ b/internal/capacity/messages.go
@@ -5,12 +5,10 @@
 	"fmt"
 
 	"boragehinge.example/boragehinge/internal/idempotency"
+	"boragehinge.example/boragehinge/internal/rollout"
 	"boragehinge.example/boragehinge/internal/wire"
 )
 
-// latencyBuckets of a route's statistics, as in internal/rollout.
-const latencyBuckets = 20
-
 // measureMessages fits the bytes of the messages whose size depends on the configuration.
 func measureMessages(_ context.Context, _ Options, r *Report) error {
 	sender := idempotency.NewIncarnation()
@@ -40,7 +38,7 @@
 		for i := range n {
 			s.Routes = append(s.Routes, wire.RouteStatistics{
 				Route: fmt.Sprintf("lookups-%d", i/2), Class: "ordinary", Version: fmt.Sprintf("4.%d", i%2),
-				Calls: ptr(1000), Failures: ptr(3), LatencyBuckets: make([]int, latencyBuckets),
+				Calls: ptr(1000), Failures: ptr(3), LatencyBuckets: make([]int, rollout.Buckets),
 			})
 		}
 		err := add("statistics of a version move", "routes x versions", n, wire.Envelope{Type: wire.EnvelopeTypeStatistics, Statistics: s})
