Read the log faster while an entry catches up after a start

Change: until the first short read, all entries together may make 200 reads/s. Also measure the pool summaries in digests.

--- a/internal/capacity/messages.go
+++ b/internal/capacity/messages.go
@@ -23,12 +23,7 @@
 	}
 	for _, n := range []int{0, 1, 4, 12, 40, 180} {
 		digest := &wire.Digest{DataCentre: dataCentreName(0), Version: 50_000, LowestVersion: ptr(50_000), MembersHash: ptr(1 << 40)}
-		for i := range n {
-			digest.Pools = append(digest.Pools, wire.PoolSummary{
-				Service: fmt.Sprintf("service-%02d", i%20), DataCentre: dataCentreName(0), Shard: i / 20,
-				Slots: ptr(75), InFlight: ptr(60), Queued: ptr(10), ExpectedWaitMicros: ptr(5000),
-			})
-		}
+		digest.Pools = summaries(dataCentreName(0), n)
 		if err := add("digest", "pools of the sender", n, wire.Envelope{Type: wire.EnvelopeTypeDigest, Digest: digest}); err != nil {
 			return err
 		}
--- a/internal/capacity/run.go
+++ b/internal/capacity/run.go
@@ -69,6 +69,7 @@
 	{"connections", measureConnections},
 	{"links", measureLinks},
 	{"messages", measureMessages},
+	{"summaries", measureSummaries},
 	{"start", measureStart},
 }
 
--- a/internal/configlog/follower.go
+++ b/internal/configlog/follower.go
@@ -13,12 +13,15 @@
 )
 
 const (
-	longPoll            = 20 * time.Second
-	minReadInterval     = 250 * time.Millisecond
-	defaultReadsPerSec  = 20
-	defaultRetention    = 24 * time.Hour
-	snapshotSpreadEntry = 2 * time.Second
-	minSnapshotSpread   = 10 * time.Second
+	longPoll           = 20 * time.Second
+	minReadInterval    = 250 * time.Millisecond
+	defaultReadsPerSec = 20
+	// A day of records is 188 reads. At the steady rate, 64 entries that restart together would take 10 min for them.
+	minCatchUpInterval        = 20 * time.Millisecond
+	defaultCatchUpReadsPerSec = 200
+	defaultRetention          = 24 * time.Hour
+	snapshotSpreadEntry       = 2 * time.Second
+	minSnapshotSpread         = 10 * time.Second
 )
 
 // ErrNotReady means that a follower doesn't know yet whether its state is current.
@@ -35,6 +38,8 @@
 	OnResult func(Result)
 	// ReadsPerSecond limits the reads of all entries together; default 20.
 	ReadsPerSecond float64
+	// CatchUpReadsPerSecond takes its place while entries that have just started read the records there are; default 200.
+	CatchUpReadsPerSecond float64
 	// Retention is the log's retention, for the time of snapshots; default 24 h.
 	Retention time.Duration
 	// Now is the clock that is compared with the log's stamps for snapshots; default time.Now.
@@ -53,6 +58,7 @@
 	population int             // entries of all data centres
 	answered   map[string]bool // peers that have nothing newer
 	current    bool            // state known to be current once since the start
+	behind     bool            // the last read since the start left records to read
 	logErr     error
 	lastRead   time.Time
 	snapshotAt time.Time // time to write the snapshot that is due
@@ -67,6 +73,9 @@
 	if s.ReadsPerSecond <= 0 {
 		s.ReadsPerSecond = defaultReadsPerSec
 	}
+	if s.CatchUpReadsPerSecond <= 0 {
+		s.CatchUpReadsPerSecond = defaultCatchUpReadsPerSec
+	}
 	if s.Retention <= 0 {
 		s.Retention = defaultRetention
 	}
@@ -240,8 +249,9 @@
 func (f *Follower) Run(ctx context.Context) error {
 	var backoff platform.Backoff
 	for ctx.Err() == nil {
+		err := f.readStep(ctx)
 		pause := f.readInterval()
-		if err := f.readStep(ctx); err != nil {
+		if err != nil {
 			pause = max(pause, backoff.Next())
 		} else {
 			backoff.Reset()
@@ -254,13 +264,16 @@
 	return ctx.Err()
 }
 
-// readInterval keeps all entries together under ReadsPerSecond, each at its own random phase.
+// readInterval keeps all entries together under ReadsPerSecond or CatchUpReadsPerSecond, each at its own random phase.
 func (f *Follower) readInterval() time.Duration {
 	f.mu.Lock()
-	n := f.population
+	n, rate, least := f.population, f.set.ReadsPerSecond, minReadInterval
+	if f.behind {
+		rate, least = f.set.CatchUpReadsPerSecond, minCatchUpInterval
+	}
 	f.mu.Unlock()
-	d := time.Duration(float64(n) / f.set.ReadsPerSecond * float64(time.Second))
-	d = max(d, minReadInterval)
+	d := time.Duration(float64(n) / rate * float64(time.Second))
+	d = max(d, least)
 	return d*3/4 + rand.N(d/2)
 }
 
@@ -274,7 +287,9 @@
 
 	f.mu.Lock()
 	f.logErr = err
+	f.behind = !f.current && len(entries) == readBatch
 	if f.cursor.failed(err) {
+		f.behind = !f.current
 		f.logErr = nil
 		f.mu.Unlock()
 		return nil
--- a/internal/configlog/follower_test.go
+++ b/internal/configlog/follower_test.go
@@ -214,3 +214,34 @@
 		}
 	})
 }
+
+// Guards against entries that all restart and take minutes to read the records of a day, and against a start that reads
+// the log without a limit.
+func TestCatchUpAfterRestartOfAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := standin.New(nil)
+		v := appendChange(t, log, "a", 0)
+		const batches = 20
+		for i := range batches*readBatch - 1 {
+			time.Sleep(100 * time.Millisecond)
+			v = appendChange(t, log, fmt.Sprint("c", i), v)
+		}
+		started, before := time.Now(), log.Counters().Reads
+		f := startFleet(t, log, 64, 24*time.Hour)
+		ready := func(one *Follower) bool { ok, _ := one.Ready(); return ok }
+		for _, one := range f.followers {
+			for !ready(one) {
+				time.Sleep(10 * time.Millisecond)
+			}
+		}
+		seconds := time.Since(started).Seconds()
+		perSecond := float64(log.Counters().Reads-before) / seconds
+		t.Logf("64 entries ready after %.1f s, %.0f reads/s", seconds, perSecond)
+		const perRead = 64.0 / defaultCatchUpReadsPerSec
+		require.LessOrEqual(t, seconds, 1.25*(batches+1)*perRead)
+		require.LessOrEqual(t, perSecond, 1.25*defaultCatchUpReadsPerSec)
+		for _, one := range f.followers {
+			require.Equal(t, v, one.View().Version.Offset)
+		}
+	})
+}
