--- a/internal/capacity/calls.go
+++ b/internal/capacity/calls.go
@@ -86,22 +86,30 @@
 	defer w.stop()
 	for _, callers := range []int{5, 10, 20, 40, 80} {
 		for _, kind := range []string{kindDirect, kindForwarded, kindRegistered} {
-			before, after, res, err := callRun{kind, callers, 25}.measure(ctx, o, w)
-			if err != nil {
+			if err := measureRate(ctx, o, r, "calls", w, callRun{kind, callers, 25}); err != nil {
 				return err
 			}
-			rate := float64(res.calls) / res.seconds
-			each(kind, before, after, func(role string, a, b Usage) {
-				name := fmt.Sprintf("%s, %s", kind, role)
-				r.add("calls", "CPU, "+name, "ms/s", "calls/s", rate, millis(b.CPU-a.CPU)/res.seconds)
-				r.add("calls", "allocations, "+name, "1/s", "calls/s", rate, float64(b.Mallocs-a.Mallocs)/res.seconds)
-			})
-			r.add("calls", "failed, "+kind, "calls", "calls/s", rate, float64(res.failed))
 		}
 	}
 	return nil
 }
 
+// measureRate adds one run to the fits of CPU time and allocations to the calls per second.
+func measureRate(ctx context.Context, o Options, r *Report, experiment string, w *world, run callRun) error {
+	before, after, res, err := run.measure(ctx, o, w)
+	if err != nil {
+		return err
+	}
+	rate := float64(res.calls) / res.seconds
+	each(run.kind, before, after, func(role string, a, b Usage) {
+		name := fmt.Sprintf("%s, %s", run.kind, role)
+		r.add(experiment, "CPU, "+name, "ms/s", "calls/s", rate, millis(b.CPU-a.CPU)/res.seconds)
+		r.add(experiment, "allocations, "+name, "1/s", "calls/s", rate, float64(b.Mallocs-a.Mallocs)/res.seconds)
+	})
+	r.add(experiment, "failed, "+run.kind, "calls", "calls/s", rate, float64(res.failed))
+	return nil
+}
+
 func measureCallsAt(ctx context.Context, o Options, r *Report, run callRun, upstreams, slotsEach int, size string, x float64) error {
 	w, err := o.newWorld(ctx, upstreams, slotsEach)
 	if err != nil {
--- a/internal/capacity/process.go
+++ b/internal/capacity/process.go
@@ -74,6 +74,7 @@
 // world is a set of processes: upstreams, their owner and an ingress that forwards to it.
 type world struct {
 	upstreams, owner, ingress *process
+	closers                   []func() // of what else belongs to it
 }
 
 func (o Options) newWorld(ctx context.Context, count, slotsEach int) (*world, error) {
@@ -101,6 +102,9 @@
 			p.stop()
 		}
 	}
+	for _, f := range w.closers {
+		f()
+	}
 }
 
 // readings are the usages of all processes at one moment; the client is this process.
--- a/internal/capacity/role.go
+++ b/internal/capacity/role.go
@@ -21,12 +21,16 @@
 
 // roleSettings tell a process of an experiment what to be.
 type roleSettings struct {
-	Role string `json:"role"` // entry or upstreams
+	Role string `json:"role"` // entry, daemon or upstreams
 
 	// Of upstreams.
 	Count int `json:"count,omitempty"`
 	Slots int `json:"slots"`
 
+	// Of a daemon.
+	Host     string `json:"host,omitempty"`
+	Platform string `json:"platform,omitempty"` // URL
+
 	// Of an entry.
 	Addresses []string `json:"addresses,omitempty"` // of the upstreams; without any the entry owns no pool
 	PoolSize  int      `json:"poolSize,omitempty"`  // upstreams of a pool
@@ -69,6 +73,8 @@
 		read, err = startUpstreams(set, enc)
 	case "entry":
 		read, err = startEntry(set, enc)
+	case "daemon":
+		read, err = startDaemon(set, enc)
 	default:
 		err = errRole
 	}
--- a/internal/capacity/run.go
+++ b/internal/capacity/run.go
@@ -58,6 +58,7 @@
 
 var experiments = []experiment{
 	{"calls", measureCalls},
+	{"daemon", measureDaemon},
 	{"bodies", measureBodies},
 	{"latency", measureLatency},
 	{"memory", measureMemory},
