--- a/internal/plot/capacity.go
+++ b/internal/plot/capacity.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"strings"
 
 	"boragehinge.example/boragehinge/internal/capacity"
@@ -28,27 +29,42 @@
 	return all, nil
 }
 
-func (r report) curve(legend, experiment, name, size string, scale float64) (Curve, error) {
+// curve finds a series. With rounded, samples whose size was itself measured, such as a rate, share a point when their
+// sizes are equal to two significant digits.
+func (r report) curve(from source, scale float64, rounded bool) (Curve, error) {
 	for _, s := range r.Series {
-		if s.Experiment != experiment || s.Name != name || s.Size != size {
+		if s.Experiment != from.experiment || s.Name != from.name || s.Size != from.size {
 			continue
 		}
-		c := Curve{Name: legend}
-		for _, p := range s.Points() {
-			c.Points = append(c.Points, Point{X: p.X, Y: p.Median * scale, Low: p.Min * scale, High: p.Max * scale})
+		values := groups{}
+		for _, sample := range s.Samples {
+			x := sample.X
+			if rounded {
+				x = twoDigits(x)
+			}
+			values.add(from.legend, x, sample.Y*scale)
 		}
-		return c, nil
+		return Curve{Name: from.legend, Points: values.points(from.legend)}, nil
+	}
+	return Curve{}, fmt.Errorf("%w: %s, %s by %s", errSeries, from.experiment, from.name, from.size)
+}
+
+func twoDigits(x float64) float64 {
+	if x <= 0 {
+		return x
 	}
-	return Curve{}, fmt.Errorf("%w: %s, %s by %s", errSeries, experiment, name, size)
+	unit := math.Pow(10, math.Floor(math.Log10(x))-1)
+	return math.Round(x/unit) * unit
 }
 
 // source names a curve of a chart.
 type source struct{ legend, experiment, name, size string }
 
-func (r report) chart(c Chart, scale float64, sources ...source) (Chart, error) {
+func (r report) chart(spec chartSpec) (Chart, error) {
+	c := spec.chart
 	c.Legend = true
-	for _, s := range sources {
-		curve, err := r.curve(s.legend, s.experiment, s.name, s.size, scale)
+	for _, s := range spec.sources {
+		curve, err := r.curve(s, spec.scale, spec.rounded)
 		if err != nil {
 			return c, err
 		}
@@ -57,62 +73,6 @@
 	return c, nil
 }
 
-// picture is a file of charts; the sources of each chart are one experiment's.
-type picture struct {
-	name   string
-	charts []chartSpec
-}
-
-type chartSpec struct {
-	chart   Chart
-	scale   float64
-	sources []source
-}
-
-func roles(prefix, experiment, size string, parts ...string) []source {
-	var out []source
-	for _, p := range parts {
-		out = append(out, source{p, experiment, prefix + p, size})
-	}
-	return out
-}
-
-// capacityPictures are the pictures from the report of internal/capacity.
-var capacityPictures = []picture{
-	{"cpu-per-call", []chartSpec{
-		{Chart{Title: "CPU time per call", X: "upstreams", Y: "us", LogX: true}, 1,
-			roles("CPU per call, ", "calls", "upstreams", "direct to the owner, owner", "forwarded, ingress", "forwarded, owner", "forwarded, client")},
-		{Chart{Title: "CPU time per call", X: "concurrent calls", Y: "us", LogX: true}, 1,
-			roles("CPU per call, ", "calls", "concurrent calls", "direct to the owner, owner", "forwarded, ingress", "forwarded, owner", "forwarded, client")},
-	}},
-	{"added-latency", []chartSpec{
-		{Chart{Title: "Time added at p50", X: "concurrent calls", Y: "ms", LogX: true, Bounds: nil}, 1,
-			roles("added at p50, ", "latency", "concurrent calls", "direct to the owner", "forwarded")},
-		{Chart{Title: "Time added at p99", X: "concurrent calls", Y: "ms", LogX: true, Bounds: []Bound{{"bound for 99 in 100 calls", 2}}}, 1,
-			roles("added at p99, ", "latency", "concurrent calls", "direct to the owner", "forwarded")},
-	}},
-	{"memory", []chartSpec{
-		{Chart{Title: "Memory of held calls", X: "calls or connections", Y: "MiB, heap and stacks"}, 1.0 / 1024, []source{
-			{"running call, ingress", "memory", "in use for running calls, ingress", "running calls"},
-			{"running call, owner", "memory", "in use for running calls, owner", "running calls"},
-			{"queued call, owner", "memory", "in use for queued calls, owner", "queued calls"},
-			{"streaming call, ingress", "memory", "in use for streaming calls, ingress", "streaming calls"},
-			{"idle connection, ingress", "memory", "in use for idle connections, ingress", "idle connections"},
-		}},
-		{Chart{Title: "Memory of request-ID records", X: "records", Y: "MiB"}, 1.0 / 1024, []source{
-			{"fact only", "records", "memory, fact only", "records"},
-			{"with an answer of 200 bytes", "records", "memory, answer of 200 bytes", "records"},
-		}},
-	}},
-	{"configuration", []chartSpec{
-		{Chart{Title: "CPU time of a configuration change", X: "upstreams", Y: "ms"}, 0.001, roles("", "configuration", "upstreams",
-			"parse and check (operators' command)", "decode", "fold of a change", "build of the snapshot", "swap into all pools")},
-		{Chart{Title: "CPU time of pools without calls", X: "pools of 4 upstreams", Y: "% of a core"}, 0.1, []source{
-			{"ticks and sweeps", "pools", "CPU without calls", "pools of 4 upstreams"},
-		}},
-	}},
-}
-
 // DrawCapacity draws the pictures of the reports into a directory, with the format's extension such as svg.
 func DrawCapacity(directory, format string, reports ...io.Reader) error {
 	r, err := readReports(reports)
@@ -122,7 +82,7 @@
 	for _, p := range capacityPictures {
 		var charts []Chart
 		for _, spec := range p.charts {
-			c, err := r.chart(spec.chart, spec.scale, spec.sources...)
+			c, err := r.chart(spec)
 			if err != nil {
 				return err
 			}
--- a/internal/plot/cluster.go
+++ b/internal/plot/cluster.go
@@ -57,11 +57,11 @@
 		return nil, nil, err
 	}
 	cost = []Chart{
-		{Title: "Traffic of a node", X: "nodes", Y: "bytes/s sent", LogX: true, Legend: true,
+		{Title: "Frames of a node without pools", X: "nodes", Y: "bytes/s sent", LogX: true, Legend: true,
 			Curves: []Curve{{"mean", v.points("bytes")}, {"highest node", v.points("highest")}}, Bounds: []Bound{{"budget", 16 << 10}}},
-		{Title: "CPU time of a node's control work", X: "nodes", Y: "% of a core", LogX: true, Legend: true,
+		{Title: "CPU time of a node, in-memory links", X: "nodes", Y: "% of a core", LogX: true, Legend: true,
 			Curves: []Curve{{"mean", v.points("cpu")}}, Bounds: []Bound{{"budget", 2.4}}},
-		{Title: "Memory of a node's control work", X: "nodes", Y: "MB", LogX: true, Legend: true,
+		{Title: "Memory of a node, in-memory links", X: "nodes", Y: "MB", LogX: true, Legend: true,
 			Curves: []Curve{{"mean", v.points("memory")}}, Bounds: []Bound{{"budget", 32}}},
 	}
 	spread := Chart{Title: "Configuration version known to all nodes", X: "nodes", Y: "s", LogX: true, Legend: true, Bounds: []Bound{{"bound", 18}}}
--- a/internal/plot/plot_test.go
+++ b/internal/plot/plot_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"boragehinge.example/boragehinge/internal/capacity"
 )
 
 const clusterLines = `
@@ -67,3 +69,20 @@
 	err := DrawCapacity(t.TempDir(), "svg", bytes.NewReader([]byte(`{"series":[]}`)))
 	require.ErrorIs(t, err, errSeries)
 }
+
+// Guards against runs at nearly the same rate that are drawn as separate points, and against rates that are merged with
+// others.
+func TestRoundedSizes(t *testing.T) {
+	for x, want := range map[float64]float64{0: 0, 1: 1, 99.9: 100, 199.4: 200, 201: 200, 787.6: 790, 0.0123: 0.012} {
+		require.InDelta(t, want, twoDigits(x), 1e-9)
+	}
+	report := report{capacity.Report{Series: []*capacity.Series{{
+		Experiment: "e", Name: "n", Size: "calls/s", Samples: []capacity.Sample{{X: 199.4, Y: 1}, {X: 201, Y: 3}, {X: 401, Y: 5}},
+	}}}}
+	c, err := report.curve(source{"legend", "e", "n", "calls/s"}, 2, true)
+	require.NoError(t, err)
+	require.Equal(t, []Point{{X: 200, Y: 4, Low: 2, High: 6}, {X: 400, Y: 10, Low: 10, High: 10}}, c.Points)
+	c, err = report.curve(source{"legend", "e", "n", "calls/s"}, 1, false)
+	require.NoError(t, err)
+	require.Len(t, c.Points, 3)
+}
