--- a/internal/capacity/daemon.go
+++ b/internal/capacity/daemon.go
@@ -21,8 +21,11 @@
 	"boragehinge.example/boragehinge/inventory"
 )
 
-// daemonUpstreams is the number of upstreams of the only pool of the daemons.
-const daemonUpstreams = 25
+// daemonUpstreams and daemonSlots are the upstreams of the only pool of the daemons, and the slots of each.
+const (
+	daemonUpstreams = 25
+	daemonSlots     = 64
+)
 
 // readyLimit bounds the wait for daemons that are ready and have ended the cold start of their upstreams.
 const readyLimit = 30 * time.Second
@@ -82,7 +85,7 @@
 	server := &http.Server{Handler: log.Handler(), ReadHeaderTimeout: time.Minute}
 	go func() { _ = server.Serve(ln) }()
 	w.closers = append(w.closers, func() { _ = server.Close() })
-	if w.upstreams, err = o.start(ctx, roleSettings{Role: "upstreams", Count: daemonUpstreams, Slots: 16}); err != nil {
+	if w.upstreams, err = o.start(ctx, roleSettings{Role: "upstreams", Count: daemonUpstreams, Slots: daemonSlots}); err != nil {
 		w.stop()
 		return nil, err
 	}
@@ -115,7 +118,7 @@
 	inv := synthetic(1, 0)
 	inv.Rules = nil
 	s := &inv.Services[0]
-	s.Slots = ptr(16)
+	s.Slots = ptr(daemonSlots)
 	for i, a := range addresses {
 		s.Upstreams = append(s.Upstreams, model.Upstream{Name: fmt.Sprintf("u-%03d", i), Address: a, DataCentre: dataCentreName(0), Version: "4.0"})
 	}
--- a/internal/capacity/latency.go
+++ b/internal/capacity/latency.go
@@ -21,12 +21,12 @@
 // measureLatency compares calls through the owner, and through an ingress and the owner, with calls that the client
 // sends to the same upstreams itself. All kinds run at the same time, so that a busy machine delays them alike.
 func measureLatency(ctx context.Context, o Options, r *Report) error {
-	for _, callers := range []int{12, 99, 999} {
+	for _, callers := range latencyCallers {
 		w, err := o.newWorld(ctx, 25, 64)
 		if err != nil {
 			return err
 		}
-		err = measureLatencyAt(ctx, o, r, w, callers)
+		err = measureLatencyAt(ctx, o, r, "latency", w, callers)
 		w.stop()
 		if err != nil {
 			return err
@@ -35,7 +35,25 @@
 	return nil
 }
 
-func measureLatencyAt(ctx context.Context, o Options, r *Report, w *world, callers int) error {
+// measureDaemonLatency is measureLatency with daemons instead of the entries assembled here.
+func measureDaemonLatency(ctx context.Context, o Options, r *Report) error {
+	w, err := o.newDaemons(ctx)
+	if err != nil {
+		return err
+	}
+	defer w.stop()
+	for _, callers := range latencyCallers {
+		if err := measureLatencyAt(ctx, o, r, "daemon-latency", w, callers); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// latencyCallers are the numbers of concurrent calls, a third of each kind.
+var latencyCallers = []int{12, 99, 999}
+
+func measureLatencyAt(ctx context.Context, o Options, r *Report, experiment string, w *world, callers int) error {
 	// The service time follows the number of callers, so that the rate stays the same.
 	run := callRun{callers: callers / len(latencyKinds), serviceMs: 1000 * callers / latencyRate}
 	spread := time.Duration(run.serviceMs) * time.Millisecond
@@ -52,14 +70,14 @@
 	for range o.Repeats {
 		results := runTogether(ctx, loads, o.Time, spread)
 		for _, kind := range latencyKinds {
-			addLatency(r, kind, float64(callers), results[kind], results[kindNone])
+			addLatency(r, experiment, kind, float64(callers), results[kind], results[kindNone])
 		}
 	}
 	return nil
 }
 
-func addLatency(r *Report, kind string, x float64, res, base loadResult) {
-	add := func(name, unit string, v float64) { r.add("latency", name+", "+kind, unit, "concurrent calls", x, v) }
+func addLatency(r *Report, experiment, kind string, x float64, res, base loadResult) {
+	add := func(name, unit string, v float64) { r.add(experiment, name+", "+kind, unit, "concurrent calls", x, v) }
 	for _, q := range latencyQuantiles {
 		v, b := res.millisAt(q), base.millisAt(q)
 		if kind == kindNone {
--- a/internal/capacity/run.go
+++ b/internal/capacity/run.go
@@ -59,6 +59,7 @@
 var experiments = []experiment{
 	{"calls", measureCalls},
 	{"daemon", measureDaemon},
+	{"daemon-latency", measureDaemonLatency},
 	{"bodies", measureBodies},
 	{"latency", measureLatency},
 	{"memory", measureMemory},
