--- a/internal/capacity/daemon.go
+++ b/internal/capacity/daemon.go
@@ -74,6 +74,44 @@
 	return nil
 }
 
+// measureRest measures the owner of one pool and the other daemon without calls.
+func measureRest(ctx context.Context, o Options, r *Report) error {
+	for range o.Repeats {
+		w, err := o.newDaemons(ctx)
+		if err != nil {
+			return err
+		}
+		err = w.measureRest(o, r)
+		w.stop()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (w *world) measureRest(o Options, r *Report) error {
+	time.Sleep(settle)
+	before, err := w.read(commandCollect)
+	if err != nil {
+		return err
+	}
+	time.Sleep(o.Time)
+	after, err := w.read(commandUsage)
+	if err != nil {
+		return err
+	}
+	add := func(role string, a, b Usage) {
+		r.add("rest", "CPU without calls, "+role, "ms/s", "daemons", 2, millis(b.CPU-a.CPU)/o.Time.Seconds())
+		r.add("rest", "memory in use, "+role, "KiB", "daemons", 2, float64(a.InUse)/1024)
+		r.add("rest", "resident memory, "+role, "KiB", "daemons", 2, float64(a.Resident)/1024)
+		r.add("rest", "goroutines, "+role, "", "daemons", 2, float64(a.Goroutines))
+	}
+	add("owner of a pool", before.owner, after.owner)
+	add("owner of no pool", before.ingress, after.ingress)
+	return nil
+}
+
 // newDaemons starts upstreams, two daemons and a stand-in of the platform, which ends with ctx.
 func (o Options) newDaemons(ctx context.Context) (*world, error) {
 	w := &world{}
--- a/internal/capacity/run.go
+++ b/internal/capacity/run.go
@@ -60,6 +60,7 @@
 	{"calls", measureCalls},
 	{"daemon", measureDaemon},
 	{"daemon-latency", measureDaemonLatency},
+	{"rest", measureRest},
 	{"bodies", measureBodies},
 	{"latency", measureLatency},
 	{"memory", measureMemory},
