Run calls on the old version when the new one has no usable upstream

Cause: TestBadVersionIsTakenBackEverywhere failed once with "503 not-run no-upstream": the new version's only upstream was ejected, and calls of its share were refused although the old version could run them.

Change: while a move is not finished, a call that no pool of the new version takes is offered to the old version. A pool that refused a call of one version may be asked for the other.

A finished move has no fallback.

--- a/entry/moves_test.go
+++ b/entry/moves_test.go
@@ -44,3 +44,23 @@
 	after, _ := bad.Totals()
 	assert.Equal(t, before.Begun, after.Begun)
 }
+
+// Guards against calls that are refused because the new version of a move has no usable upstream, although the old
+// version could run them.
+func TestCallsFallBackToTheOldVersion(t *testing.T) {
+	w := newWorld(t)
+	w.upstream("old", emulator.Config{Slots: 4})
+	fresh := w.upstream("new", emulator.Config{Slots: 4})
+	rule := fmt.Sprintf("rules:\n  versions: [{service: orders, from: \"1\", to: \"2\", by: %q, startPercent: 50}]\n",
+		time.Now().Add(time.Hour).UTC().Format(time.RFC3339))
+	w.apply(w.inventory(rule, target{"old", "dc-1", "1"}, target{"new", "dc-1", "2"}))
+	e := w.entry("e1", "dc-1")
+	w.settled(e)
+	w.eventually("the new version gets calls", func() bool { return w.call(e, http.MethodGet, "/x", nil).upstream == "new" })
+	fresh.Crash(time.Hour)
+	for range 50 {
+		got := w.call(e, http.MethodGet, "/x", nil)
+		got.assertDone(t)
+		require.Equal(t, "old", got.upstream)
+	}
+}
--- a/entry/pools.go
+++ b/entry/pools.go
@@ -87,18 +87,31 @@
 		p.record(now, c, pool, "chosen", "the owner changed")
 		return pool, true
 	}
-	for _, id := range p.order(now, conf, c.Service, version) {
-		pool, ok := p.place(id, version)
-		if !ok || !worthTrying(pool, tried) {
-			continue
-		}
+	if pool, ok := p.next(now, conf, c.Service, version, tried); ok {
 		p.record(now, c, pool, "chosen", "")
 		return pool, true
 	}
+	if old, ok := rollout.Fallback(conf.view, c.Service, version); ok {
+		if pool, ok := p.next(now, conf, c.Service, old, tried); ok {
+			p.record(now, c, pool, "chosen", "no upstream of version "+version)
+			return pool, true
+		}
+	}
 	p.record(now, c, proxy.Pool{Version: version}, "refused", reasonNotFound)
 	return proxy.Pool{}, false
 }
 
+// next returns the preferred pool for a version among those that are worth trying.
+func (p pools) next(now time.Time, conf *configuration, service, version string, tried []proxy.Tried) (proxy.Pool, bool) {
+	for _, id := range p.order(now, conf, service, version) {
+		pool, ok := p.place(id, version)
+		if ok && worthTrying(pool, tried) {
+			return pool, true
+		}
+	}
+	return proxy.Pool{}, false
+}
+
 const (
 	// ownerWait is the time in which a changed owner becomes known, by the next heartbeats. Together with the attempts of
 	// a call it covers two heartbeat intervals.
@@ -186,10 +199,10 @@
 	return pool, ok && owner.PeerAddress != ""
 }
 
-// worthTrying leaves out the pools that refused.
+// worthTrying leaves out the pools that refused a call of the same version.
 func worthTrying(pool proxy.Pool, tried []proxy.Tried) bool {
 	for _, t := range tried {
-		if t.Pool.ID == pool.ID && t.Upstream == "" {
+		if t.Pool.ID == pool.ID && t.Pool.Version == pool.Version && t.Upstream == "" {
 			return false
 		}
 	}
--- a/internal/rollout/share.go
+++ b/internal/rollout/share.go
@@ -68,6 +68,18 @@
 	return version, ok
 }
 
+// Fallback returns the old version of a move under way to the given version. A call that no upstream of the new version
+// can take may run there: the new version may have few upstreams, and its faults must not refuse calls.
+func Fallback(view configlog.View, service, version string) (old string, ok bool) {
+	for _, rule := range Rules(view.Version.Inventory, service) {
+		m := view.Moves[configlog.Move{Service: service, Name: configlog.MoveName(rule)}]
+		if rule.To == version && !m.Finished {
+			return rule.From, true
+		}
+	}
+	return "", false
+}
+
 // Rules returns the version rules of a service in the order of the inventory.
 func Rules(inv *model.Inventory, service string) []model.VersionRule {
 	if inv == nil || inv.Rules == nil {
