Append stops and leases in turns

Cause: any entry may append a stop or take a lease over. After an outage of the log all of them did so each second until they read the record back: 600 appends a second with 600 entries, above what the log takes.

Change: the entries append such records in up to 8 turns, one a second. A holder renews its own lease at any time.

Figures: by calculation 75 appends a second with 600 entries instead of 600, 2 with 16 instead of 16.

Conclusion: stops take effect as before, as facts; their record may come up to 8 s later.

--- a/entry/moves.go
+++ b/entry/moves.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"boragehinge.example/boragehinge/internal/configlog"
+	"boragehinge.example/boragehinge/internal/membership"
 	"boragehinge.example/boragehinge/internal/rollout"
 	"boragehinge.example/boragehinge/internal/wire"
 )
@@ -18,6 +19,9 @@
 	appendTimeout = 3 * time.Second
 	// demandMemory is the weight of the last second in the mean demand of a service.
 	demandMemory = 0.2
+	// appendTurns is the number of turns in which the entries append what any of them may append. After an outage of the
+	// log all of them want to; with 600 entries this makes 75 appends a second instead of 600.
+	appendTurns = 8
 )
 
 // moves runs the policy of each version move. Its goroutine is the only one that appends steps.
@@ -69,14 +73,31 @@
 	if conf == nil {
 		return
 	}
+	turn := m.turn(now)
 	for _, r := range m.judge(now, conf) {
-		m.append(ctx, r)
+		if turn || r.Kind != configlog.KindStop {
+			m.append(ctx, r)
+		}
 	}
-	if rollout.WantsLease(now, conf.view, m.e.set.Host) && m.e.state.Load() == running {
+	renews := conf.view.Leases[rollout.LeaseName].Holder == m.e.set.Host
+	if rollout.WantsLease(now, conf.view, m.e.set.Host) && (renews || turn) && m.e.state.Load() == running {
 		m.append(ctx, rollout.LeaseRecord(m.e.set.Host))
 	}
 }
 
+// turn reports whether it is this entry's turn to append a record that each entry would append. A stop takes effect
+// before, since it is also spread as a fact.
+func (m *moves) turn(now time.Time) bool {
+	members := m.e.node.View().Members
+	rank := slices.IndexFunc(members, func(o membership.Member) bool { return o.Incarnation == m.e.Incarnation() })
+	return appendTurn(now, max(rank, 0), len(members))
+}
+
+func appendTurn(now time.Time, rank, members int) bool {
+	turns := int64(max(1, min(appendTurns, members)))
+	return now.Unix()%turns == int64(rank)%turns
+}
+
 func (m *moves) append(ctx context.Context, r configlog.Record) {
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
--- a/entry/moves_test.go
+++ b/entry/moves_test.go
@@ -64,3 +64,19 @@
 		require.Equal(t, "old", got.upstream)
 	}
 }
+
+// Guards against a burst of appends when the log comes back: each entry may append the same stop or lease.
+func TestAppendTurns(t *testing.T) {
+	for _, members := range []int{1, 3, 16, 600} {
+		for second := range int64(16) {
+			due := 0
+			for rank := range members {
+				if appendTurn(time.Unix(second, 0), rank, members) {
+					due++
+				}
+			}
+			assert.Positive(t, due, "somebody has a turn each second")
+			assert.LessOrEqual(t, due, max(1, members/appendTurns+1))
+		}
+	}
+}
