--- a/entry/change_test.go
+++ b/entry/change_test.go
@@ -85,8 +85,30 @@
 	})
 }
 
-// Guards against calls that get a capacity which the configuration in force no longer has.
-func TestRemovedUpstreamAndServiceGetNothing(t *testing.T) {
+// Guards against a removed pool that still gets calls, that keeps its connections, or whose running call is cut.
+func TestRemovedPoolFinishesItsCalls(t *testing.T) {
+	w := newWorld(t)
+	w.upstream("u1", emulator.Config{Routes: slowRoutes(800 * time.Millisecond)})
+	w.upstream("u2", emulator.Config{})
+	w.apply(w.inventory("", target{"u1", "dc-1", "1"}, target{"u2", "dc-2", "1"}))
+	e := w.entry("e1", "dc-1")
+	w.settled(e)
+	slow := make(chan answer, 1)
+	go func() { slow <- w.call(e, http.MethodGet, "/slow/1", nil) }()
+	w.eventually("the call runs", func() bool { return w.ups["u1"].State().InFlight == 1 })
+	w.apply(w.inventory("", target{"u2", "dc-2", "1"}))
+	w.settled(e)
+	for range 20 {
+		got := w.call(e, http.MethodGet, "/x", nil)
+		got.assertDone(t)
+		assert.Equal(t, "u2", got.upstream)
+	}
+	(<-slow).assertDone(t)
+	w.eventually("the pool ends", func() bool { return e.ownership.find("orders/dc-1/0") == nil && w.ups["u1"].OpenConnections() == 0 })
+}
+
+// Guards against calls to an upstream that the configuration in force no longer has.
+func TestRemovedUpstreamGetsNothing(t *testing.T) {
 	w := newWorld(t)
 	w.upstream("u1", emulator.Config{})
 	w.upstream("u2", emulator.Config{})
--- a/entry/pools.go
+++ b/entry/pools.go
@@ -83,7 +83,7 @@
 	if len(tried) == 0 {
 		version = p.version(now, conf, c)
 	}
-	if pool, again := p.newOwner(tried); again {
+	if pool, again := p.newOwner(conf, tried); again {
 		p.record(now, c, pool, "chosen", "the owner changed")
 		return pool, true
 	}
@@ -108,7 +108,7 @@
 
 // newOwner returns the pool whose owner refused because it isn't the owner by its own view. One of the two views is about
 // to change, so it waits for that and has the call tried again in any case.
-func (p pools) newOwner(tried []proxy.Tried) (proxy.Pool, bool) {
+func (p pools) newOwner(conf *configuration, tried []proxy.Tried) (proxy.Pool, bool) {
 	if len(tried) == 0 || tried[len(tried)-1].Reason != proxy.ReasonWrongOwner {
 		return proxy.Pool{}, false
 	}
@@ -117,6 +117,9 @@
 	if err != nil {
 		return proxy.Pool{}, false
 	}
+	if _, known := conf.snap.Pool(id); !known {
+		return proxy.Pool{}, false
+	}
 	for waited := time.Duration(0); ; waited += ownerWaitStep {
 		pool, ok := p.place(id, last.Version)
 		if ok && (pool.Owner != last.Owner || waited >= ownerWait) {
