--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -51,3 +51,46 @@
 	}
 	return list
 }
+
+// Guards against a callers' port that doesn't speak HTTP/2 without TLS.
+func TestCallOverHTTP2(t *testing.T) {
+	w := newWorld(t)
+	w.upstream("u1", emulator.Config{})
+	w.apply(w.inventory("", target{"u1", "dc-1", "1"}))
+	e := w.entry("e1", "dc-1")
+	w.settled(e)
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	transport := &http.Transport{Protocols: protocols}
+	defer transport.CloseIdleConnections()
+	callers, _, _ := e.Addresses()
+	resp, err := (&http.Client{Transport: transport}).Get("http://" + callers + "/x")
+	require.NoError(t, err)
+	defer resp.Body.Close() //nolint:errcheck // not read
+	assert.Equal(t, 2, resp.ProtoMajor)
+	assert.Equal(t, "done", resp.Header.Get("Boragehinge-Outcome"))
+}
+
+// Guards against limits of the configuration that no owner enforces, and against a refusal that doesn't say "not run".
+func TestCustomerLimit(t *testing.T) {
+	w := newWorld(t)
+	w.upstream("u1", emulator.Config{})
+	w.apply(w.inventory("rules:\n  limits: [{customer: \"*\", perSecond: 0.01, burst: 2}]\n", target{"u1", "dc-1", "1"}))
+	e := w.entry("e1", "dc-1")
+	w.settled(e)
+	refused := 0
+	for range 6 {
+		got := w.call(e, http.MethodPost, "/orders/1", map[string]string{"Boragehinge-Customer": "greedy"})
+		if got.outcome != "not-run" {
+			got.assertDone(t)
+			continue
+		}
+		refused++
+		assert.Equal(t, http.StatusTooManyRequests, got.status)
+		assert.Equal(t, "customer-limit", got.reason)
+	}
+	assert.Equal(t, 4, refused)
+	runs, _ := w.ups["u1"].Totals()
+	assert.Equal(t, 2, runs.Begun)
+	w.call(e, http.MethodPost, "/orders/1", map[string]string{"Boragehinge-Customer": "other"}).assertDone(t)
+}
