End the slow call when a silence test fails

Cause: after a failed assertion the test server's end waited for a call that nothing released, up to the time limit of go test.

Change: a cleanup releases the call before the server ends.

Conclusion: a failing silence test reports at once.

--- a/internal/transport/silence_test.go
+++ b/internal/transport/silence_test.go
@@ -22,6 +22,13 @@
 		}
 		_, _ = w.Write([]byte("ok"))
 	})
+	t.Cleanup(func() {
+		select {
+		case <-release:
+		default:
+			close(release) // the server's end waits for its calls, also after a failure
+		}
+	})
 	for range minSamples {
 		routeCall(t, tr, address, "fast")
 	}
@@ -76,8 +83,7 @@
 // against a dead connection that isn't found once that has happened.
 func TestOvertakenCallIsSilent(t *testing.T) {
 	tr := newTransport(t, Config{NewConnsBurst: 50})
-	address, release, result := slowCall(t, tr, "fast")
-	defer close(release)
+	address, _, result := slowCall(t, tr, "fast")
 	for range laterResponses - 1 {
 		routeCall(t, tr, address, "fast")
 	}
@@ -93,8 +99,7 @@
 // is found one sweep after the floor, but not while no other connection progresses.
 func TestLostPathIsFoundOnAnyRoute(t *testing.T) {
 	tr := newTransport(t, Config{NewConnsBurst: 50, pathLost: func(net.Conn) bool { return true }})
-	address, release, result := slowCall(t, tr, "report")
-	defer close(release)
+	address, _, result := slowCall(t, tr, "report")
 	tr.Sweep(time.Now().Add(1250 * time.Millisecond))
 	require.Zero(t, tr.Stats(address).Silent)
 	routeCall(t, tr, address, "fast")
