Carry cold and refused calls in the statistics between entries

Cause: RouteStatistics had no field for calls to cold upstreams and for calls that upstreams refused as not run, so a peer's samples counted cold calls as normal ones and no refusals. A cold version could look slow.

Change: the fields cold and notRun, and FromWire uses them. A sender reports cold calls in an entry of their own; a mixed entry counts as cold only if at least half of it is.

Not done: a new version with few upstreams of which one is slow is still judged as a whole.

Conclusion: the judge sees the same cold calls and refusals at all entries once the senders fill the fields in.

--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -238,11 +238,13 @@
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.Int()
 		calls, failures := n.Draw(t, "calls"), n.Draw(t, "failures")
+		notRun, cold := n.Draw(t, "not run"), n.Draw(t, "cold")
 		s := FromWire(wire.RouteStatistics{
-			Version: "2", Calls: &calls, Failures: &failures, LatencyBuckets: rapid.SliceOfN(rapid.IntRange(-9, 1<<20), 0, 40).Draw(t, "buckets"),
+			Version: "2", Calls: &calls, Failures: &failures, NotRun: &notRun, Cold: &cold, LatencyBuckets: rapid.SliceOfN(rapid.IntRange(-9, 1<<20), 0, 40).Draw(t, "buckets"),
 		})
 		require.GreaterOrEqual(t, s.Calls, s.Failures)
 		require.GreaterOrEqual(t, s.Failures, 0)
+		require.GreaterOrEqual(t, s.NotRun, 0)
 		for _, b := range s.Latency {
 			require.GreaterOrEqual(t, b, 0)
 		}
@@ -252,6 +254,18 @@
 	})
 }
 
+// Guards against cold starts and refusals that get lost between entries: a version that is cold or sheds at one entry
+// would look slow, failing or ready at the others.
+func TestFromWireKeepsColdAndNotRun(t *testing.T) {
+	from := func(calls, notRun, cold int) Sample {
+		return FromWire(wire.RouteStatistics{Version: "2", Calls: &calls, NotRun: &notRun, Cold: &cold})
+	}
+	require.Equal(t, Sample{Version: "2", Calls: 4, NotRun: 6, Cold: true}, from(4, 6, 10))
+	require.True(t, from(0, 3, 3).Cold)
+	require.False(t, from(100, 0, 1).Cold, "a few cold calls don't excuse the rest")
+	require.False(t, from(0, 0, 0).Cold)
+}
+
 // Guards against running sums that drift from the slices they stand for.
 func TestWindowSums(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/rollout/window.go
+++ b/internal/rollout/window.go
@@ -23,7 +23,9 @@
 	Latency [Buckets]int
 }
 
-// FromWire converts a peer's statistics of one route. Missing fields count 0, negative ones too.
+// FromWire converts a peer's statistics of one route. Missing fields count 0, negative ones too. Calls to cold upstreams
+// come in an entry of their own; a mixed entry counts as cold only if at least half of it is, since the failures and
+// latencies of cold calls weigh less.
 func FromWire(r wire.RouteStatistics) Sample {
 	s := Sample{Route: r.Route, Class: r.Class, Version: r.Version}
 	if r.Calls != nil {
@@ -32,6 +34,12 @@
 	if r.Failures != nil {
 		s.Failures = min(max(0, *r.Failures), s.Calls)
 	}
+	if r.NotRun != nil {
+		s.NotRun = max(0, *r.NotRun)
+	}
+	if r.Cold != nil {
+		s.Cold = *r.Cold > 0 && 2*float64(*r.Cold) >= float64(s.Calls)+float64(s.NotRun)
+	}
 	for i, n := range r.LatencyBuckets {
 		s.Latency[min(i, Buckets-1)] += max(0, n)
 	}
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -227,12 +227,19 @@
 	// Class corresponds to the JSON schema field "class".
 	Class string `json:"class" yaml:"class"`
 
+	// Calls, refused ones included, that went to upstreams in cold start. They have
+	// an entry of their own.
+	Cold *int `json:"cold,omitempty,omitzero" yaml:"cold,omitempty"`
+
 	// Failures corresponds to the JSON schema field "failures".
 	Failures *int `json:"failures,omitempty,omitzero" yaml:"failures,omitempty"`
 
 	// Counts by powers of two of 100 microseconds.
 	LatencyBuckets []int `json:"latencyBuckets,omitempty,omitzero" yaml:"latencyBuckets,omitempty"`
 
+	// Calls that upstreams refused as not run; not part of calls.
+	NotRun *int `json:"notRun,omitempty,omitzero" yaml:"notRun,omitempty"`
+
 	// Route corresponds to the JSON schema field "route".
 	Route string `json:"route" yaml:"route"`
 
