Keep lifted leavings in the state of the log

Cause: an entry knew that a configuration had lifted a leaving only while that configuration's rule was in force, or from its own memory. After a restart, with the rule gone from the configuration, an old peer's leaving fact took the data centre out of service again.

LeavingFacts refuses facts with a base below that version.

Conclusion: a lifted leaving stays lifted over restarts.

--- a/internal/configlog/fold.go
+++ b/internal/configlog/fold.go
@@ -88,6 +88,7 @@
 	moves   map[Move]MoveState
 	stops   map[Move]MoveState
 	leaving map[string]LeavingState
+	lifted  map[string]int64 // version that last lifted the leaving of a data centre
 
 	needed time.Time // log time of the oldest record that a new reader of the log needs
 
@@ -189,12 +190,13 @@
 	if c.Base != f.version.Offset {
 		return f.refuseChange(res, c)
 	}
+	before := f.version.Inventory
 	f.version = Version{
 		Offset: e.Offset, ChangeID: c.ID, Operator: c.Operator, Time: e.Time, Inventory: inv, Raw: c.Inventory,
 	}
 	f.remember(change{ID: c.ID, Offset: e.Offset})
 	f.keepMoves(inv)
-	f.liftLeaving(inv)
+	f.liftLeaving(before, inv)
 	res.Outcome = Accepted
 	return res
 }
--- a/internal/configlog/leaving.go
+++ b/internal/configlog/leaving.go
@@ -47,6 +47,9 @@
 			l.lifted[r.DataCentre] = v.Version.Offset
 		}
 	}
+	for dc, version := range v.Lifted {
+		l.lifted[dc] = max(l.lifted[dc], version)
+	}
 	for dc, f := range l.facts {
 		if !hasDataCentre(inv, dc) {
 			l.lifted[dc] = v.Version.Offset
--- a/internal/configlog/moves.go
+++ b/internal/configlog/moves.go
@@ -1,8 +1,11 @@
 package configlog
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"slices"
+	"strings"
 
 	"boragehinge.example/boragehinge/internal/model"
 	"boragehinge.example/boragehinge/internal/platform"
@@ -101,7 +104,8 @@
 // liftLeaving ends the urgent leaving of the data centres whose state an accepted configuration names, or that it no
 // longer has. A change that says nothing about a leaving data centre doesn't bring it back, since its operator may not
 // have known of the leaving.
-func (f *Fold) liftLeaving(inv *model.Inventory) {
+func (f *Fold) liftLeaving(before, inv *model.Inventory) {
+	f.noteLifts(before, inv)
 	for dc := range f.leaving {
 		if namesState(inv, dc) || !hasDataCentre(inv, dc) {
 			delete(f.leaving, dc)
@@ -109,6 +113,40 @@
 	}
 }
 
+// noteLifts keeps the version as the one that lifts the leavings of the data centres that it names, or no longer has.
+func (f *Fold) noteLifts(before, inv *model.Inventory) {
+	if inv != nil && inv.Rules != nil {
+		for _, r := range inv.Rules.DataCentres {
+			f.lifted[r.DataCentre] = f.version.Offset
+		}
+	}
+	if before != nil {
+		for _, s := range before.Sites {
+			for _, dc := range s.DataCentres {
+				if !hasDataCentre(inv, dc.Name) {
+					f.lifted[dc.Name] = f.version.Offset
+				}
+			}
+		}
+	}
+	for len(f.lifted) > maxLifted {
+		list := f.lifts()
+		oldest := slices.MinFunc(list, func(a, b lift) int {
+			return cmp.Or(cmp.Compare(a.Version, b.Version), strings.Compare(a.DataCentre, b.DataCentre))
+		})
+		delete(f.lifted, oldest.DataCentre)
+	}
+}
+
+// lifts returns the lifted leavings sorted by data centre.
+func (f *Fold) lifts() []lift {
+	var list []lift
+	for _, dc := range slices.Sorted(maps.Keys(f.lifted)) {
+		list = append(list, lift{dc, f.lifted[dc]})
+	}
+	return list
+}
+
 func namesState(inv *model.Inventory, dc string) bool {
 	if inv == nil || inv.Rules == nil {
 		return false
--- a/internal/configlog/state.go
+++ b/internal/configlog/state.go
@@ -21,6 +21,9 @@
 	rememberedStops = 24
 	// maxLeases is how many leases may run at once.
 	maxLeases = 16
+	// maxLifted is how many lifted leavings are kept; the oldest is forgotten. It is well above the data centres of an
+	// inventory of the design size.
+	maxLifted = 64
 )
 
 // Version is a configuration. Offset is the offset of the accepted record and 0 while there is none. It and what it
@@ -83,6 +86,8 @@
 	Leases  map[string]LeaseState
 	Moves   map[Move]MoveState
 	Leaving map[string]LeavingState
+	// Lifted has the last version that lifted the leaving of a data centre; facts with an older base don't apply.
+	Lifted map[string]int64
 }
 
 // state is what a snapshot holds. Lists are sorted, so that equal states have equal bytes.
@@ -99,9 +104,17 @@
 	Moves    []MoveState     `json:"moves"`
 	Stops    []MoveState     `json:"stops"`
 	Leaving  []LeavingState  `json:"leaving"`
+	Lifted   []lift          `json:"lifted,omitempty"`
 	Needed   time.Time       `json:"needed"` // log time of the oldest record that a new reader of the log needs
 }
 
+// lift remembers the last version that lifted the leaving of a data centre. The rule that did may have left the
+// configuration since, while a peer still passes an older leaving on.
+type lift struct {
+	DataCentre string `json:"dataCentre"`
+	Version    int64  `json:"version"`
+}
+
 // change remembers how the first record with a change ID ended.
 type change struct {
 	ID             string `json:"id"`
@@ -122,6 +135,7 @@
 		Moves:   sortedValues(f.moves, compareMoves),
 		Stops:   sortedValues(f.stops, compareMoves),
 		Leaving: sortedValues(f.leaving, strings.Compare),
+		Lifted:  f.lifts(),
 		Needed:  f.needed,
 	}
 }
@@ -149,6 +163,10 @@
 	for _, l := range s.Leaving {
 		f.leaving[l.DataCentre] = l
 	}
+	f.lifted = map[string]int64{}
+	for _, l := range s.Lifted {
+		f.lifted[l.DataCentre] = l.Version
+	}
 }
 
 // View returns an immutable copy of the state.
@@ -160,6 +178,7 @@
 		Leases:  maps.Clone(f.leases),
 		Moves:   maps.Clone(f.moves),
 		Leaving: maps.Clone(f.leaving),
+		Lifted:  maps.Clone(f.lifted),
 	}
 }
 
