Run the long tests of configlog beside each other

Cause: under -race the package took 30.7 s, most of it in five tests that ran one after another on one core (TestLoadLargeRecordsOverHTTP 13.0 s, TestReadsStayUnderTheBudget 6.4 s).

Change: these five tests are parallel. Counts and seeds stay.

--- a/internal/configlog/fold_test.go
+++ b/internal/configlog/fold_test.go
@@ -146,6 +146,7 @@
 
 // Guards against a snapshot that no longer fits into one record at the limits of the state.
 func TestSnapshotFitsAtTheLimits(t *testing.T) {
+	t.Parallel()
 	f := newFeeder(t)
 	long := func(prefix string, n int) string { return prefix + string(bytes.Repeat([]byte("x"), n-len(prefix))) }
 	pad := long("", MaxInventoryBytes-600)
--- a/internal/configlog/follower_test.go
+++ b/internal/configlog/follower_test.go
@@ -195,6 +195,7 @@
 
 // Guards against entries that together read the log more often than it allows, whatever is appended.
 func TestReadsStayUnderTheBudget(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		log := standin.New(nil)
 		f := startFleet(t, log, 144, time.Hour)
--- a/internal/configlog/machine_test.go
+++ b/internal/configlog/machine_test.go
@@ -158,6 +158,7 @@
 // Guards against readers of one log that disagree or go back: racing operators, lost answers, expired records,
 // snapshots (corrupt ones too), restarts and peers that send old records, in any order.
 func TestReadersAgree(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		m := newFoldMachine()
 		before := make([]View, len(m.readers))
--- a/internal/configlog/submit_test.go
+++ b/internal/configlog/submit_test.go
@@ -109,6 +109,7 @@
 // Guards against two operators who both win on one base, a loser who had won, and an acceptance that is lost again.
 // A history with a false answer must be rejected, so that the check is known to see one.
 func TestSubmitHistories(t *testing.T) {
+	t.Parallel()
 	accepted, lost := 0, 0
 	for seed := range uint64(20) {
 		synctest.Test(t, func(t *testing.T) {
@@ -192,6 +193,7 @@
 
 // Guards against a log of large records whose batches are longer than the client reads.
 func TestLoadLargeRecordsOverHTTP(t *testing.T) {
+	t.Parallel()
 	log := standin.New(nil)
 	log.SetFaults(standin.Faults{AppendsPerSecond: -1})
 	server := httptest.NewServer(log.Handler())
