--- a/spec/check.sh
+++ b/spec/check.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Checks every model exhaustively within its bounds, then each mutation of it, which the checker must report.
-# "check.sh --large" raises the bounds (see the table below) and takes several minutes and a few GB of memory.
+# "check.sh --large" raises the bounds (see docs/model-checking.md) and takes several minutes and a few GB of memory.
 set -euo pipefail
 cd "$(dirname "$0")"
 spec=$PWD
