--- a/internal/conformance/once_entries_test.go
+++ b/internal/conformance/once_entries_test.go
@@ -41,6 +41,7 @@
 	upstreams []string
 	emulators []*emulator.Server
 	shift     atomic.Int64 // added to the entries' clock
+	running   atomic.Int64 // requests at the upstreams
 
 	mu         sync.Mutex
 	entries    []*runningEntry
@@ -74,6 +75,8 @@
 // the call, one lost after which the upstream runs the call later, and an answer that is lost.
 func (c *onceCluster) faulty(em *emulator.Server) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c.running.Add(1)
+		defer c.running.Add(-1)
 		c.faultsMu.Lock()
 		kind := c.faults.IntN(10)
 		c.faultsMu.Unlock()
