Serve the minimum share of low classes under overload

The expected wait of a class divided the calls queued in all higher classes by the rate of its own minimum share, so admission refused calls which the share would have served in time. It is now the shorter of the wait in the order of priority and the wait for the class's own queue at its share.

A full queue of calls of higher priority displaced every waiting call of a lower class, which then had nothing to grant. A class now keeps its minimum share of the queue's places.

Each of the two changes is needed: without the second, the full queue still grants no bulk.

--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -125,10 +125,6 @@
 
 // queueing checks whether a call that finds no free slot can still be answered in time.
 func (p *Pool) queueing(now time.Time, c *call) Reason {
-	maxQueued := p.spec.MaxQueued
-	if maxQueued == 0 {
-		maxQueued = defaultMaxQueued
-	}
 	service := p.serviceTime(c.class)
 	left := c.req.Deadline.Sub(now)
 	late := service+p.expectedWait(now, c.level, c.req.Version) > left
@@ -141,12 +137,19 @@
 	case late:
 		return ReasonOverload
 	}
-	if p.queued >= maxQueued && !p.displace(now, c.level) {
+	if p.queued >= p.maxQueued() && !p.displace(now, c.level) {
 		return ReasonOverload
 	}
 	return ""
 }
 
+func (p *Pool) maxQueued() int {
+	if p.spec.MaxQueued == 0 {
+		return defaultMaxQueued
+	}
+	return p.spec.MaxQueued
+}
+
 // doubtService lowers the class's service time when it is the main reason to refuse a call. Without this, an estimate
 // above every deadline would refuse all calls of the class and never be corrected by a measurement.
 func (p *Pool) doubtService(c *call) {
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -230,11 +230,13 @@
 	}
 }
 
-// displace refuses the newest queued call of the lowest priority below the level. It reports whether there was one.
+// displace refuses the newest queued call of the lowest priority below the level. A class keeps its minimum share of the
+// queue's places, since its share of the grants is lost while none of its calls wait. It reports whether there was a
+// call to refuse.
 func (p *Pool) displace(now time.Time, level int) bool {
 	for i := len(p.classes) - 1; i > level; i-- {
 		k := &p.classes[i]
-		if k.queued == 0 {
+		if k.queued == 0 || float64(k.queued) <= float64(p.maxQueued())*k.spec.MinShare {
 			continue
 		}
 		victim := k.newestQueued()
@@ -256,17 +258,18 @@
 	return longest.turn.prev.tail
 }
 
-// expectedWait estimates the queueing time of a new call of the class and version. The rate left to a class is what
-// the arrivals of higher classes leave of the drain rate, but at least its minimum share.
+// expectedWait estimates the queueing time of a new call of the class and version. It is the shorter of two waits: for
+// all calls ahead in the order of priority, at the rate that the arrivals of higher classes leave, and for the calls of
+// its own class alone, at the rate of the class's minimum share.
 func (p *Pool) expectedWait(now time.Time, level int, version string) time.Duration {
-	slots, ahead, above := p.capacity(now, version), 0, 0.0
+	slots, ahead, own, above := p.capacity(now, version), 0, 0, 0.0
 	for i := 0; i <= level; i++ {
 		k := &p.classes[i]
-		if version == "" {
-			ahead += k.queued
-		} else {
-			ahead += k.queuedFor(version)
+		own = k.queued
+		if version != "" {
+			own = k.queuedFor(version)
 		}
+		ahead += own
 		if i < level {
 			above += k.arrival.perSecond(now)
 		}
@@ -281,8 +284,13 @@
 	if total := p.capacity(now, ""); total > slots {
 		above *= float64(slots) / float64(total)
 	}
-	left := max(drain-above, drain*max(p.classes[level].spec.MinShare, 0.01))
-	return time.Duration(float64(ahead+1) / left * float64(time.Second))
+	share := p.classes[level].spec.MinShare
+	seconds := float64(ahead+1) / max(drain-above, drain*max(share, 0.01))
+	if share > 0 {
+		// A waiting class earns its share with each grant to another class, so it gets 1 of 1/share + 1 grants.
+		seconds = min(seconds, float64(own+1)*(1+share)/(drain*share))
+	}
+	return time.Duration(seconds * float64(time.Second))
 }
 
 func (k *class) queuedFor(version string) int {
