Admit a class below its reserved places to a full queue

A class that sends no more than its minimum share was refused when calls of other classes filled the queue. It now displaces a call of a class that holds more than its reserved places, the lowest priority first.

--- a/internal/dispatch/minshare_test.go
+++ b/internal/dispatch/minshare_test.go
@@ -94,3 +94,12 @@
 		})
 	}
 }
+
+// Guards against a full queue that refuses the calls of a class which sends no more than its minimum share.
+func TestFullQueueAdmitsAClassBelowItsShare(t *testing.T) {
+	r := overload(t, 200, map[string]float64{"urgent": 300, "ordinary": 870, "bulk": 24})
+	t.Logf("bulk: %d of %d granted; urgent: %d of %d, p99 wait %v", r["bulk"].done, r["bulk"].offered,
+		r["urgent"].done, r["urgent"].offered, r["urgent"].p99())
+	assert.GreaterOrEqual(t, r["bulk"].done, r["bulk"].offered*9/10)
+	assert.GreaterOrEqual(t, r["urgent"].done, r["urgent"].offered*99/100)
+}
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -230,13 +230,17 @@
 	}
 }
 
-// displace refuses the newest queued call of the lowest priority below the level. A class keeps its minimum share of the
-// queue's places, since its share of the grants is lost while none of its calls wait. It reports whether there was a
-// call to refuse.
+// displace refuses a queued call to make room for a call of the level. It takes the newest call of the lowest priority
+// below the level, or of any other class when the level holds less than its reserved places. A class keeps its reserved
+// places, since its share of the grants is lost while none of its calls wait. It reports whether there was such a call.
 func (p *Pool) displace(now time.Time, level int) bool {
-	for i := len(p.classes) - 1; i > level; i-- {
+	above := level
+	if p.classes[level].queued < p.reserved(level) {
+		above = -1
+	}
+	for i := len(p.classes) - 1; i > above; i-- {
 		k := &p.classes[i]
-		if k.queued == 0 || float64(k.queued) <= float64(p.maxQueued())*k.spec.MinShare {
+		if i == level || k.queued <= p.reserved(i) {
 			continue
 		}
 		victim := k.newestQueued()
@@ -247,6 +251,11 @@
 	return false
 }
 
+// reserved is the class's minimum share of the queue's places.
+func (p *Pool) reserved(level int) int {
+	return int(float64(p.maxQueued()) * p.classes[level].spec.MinShare)
+}
+
 // newestQueued returns the newest call of the customer that is served last in the class's longest lane.
 func (k *class) newestQueued() *call {
 	longest := &k.retries
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -9,7 +9,7 @@
 // Reasons of refusals.
 const (
 	ReasonDeadline    Reason = "deadline"     // cannot be answered before its deadline at the measured service time
-	ReasonOverload    Reason = "overload"     // displaced by a call of higher priority, or the queue is full
+	ReasonOverload    Reason = "overload"     // too late by the expected wait, or displaced from a full queue
 	ReasonLimit       Reason = "limit"        // a hard limit of the customer or class
 	ReasonClosed      Reason = "closed"       // the pool is closed: its data centre is leaving
 	ReasonNoUpstream  Reason = "no-upstream"  // no usable upstream of the version outside the exclusion list
