Add soak: a whole installation under random faults

The schedule of faults comes from a seed. A pure checker compares the answers of the callers with the events at the emulated upstreams. The emulator gains an observer and dev can kill, stop and replace single entries.

--- a/cmd/boragehinge/commands.go
+++ b/cmd/boragehinge/commands.go
@@ -13,6 +13,7 @@
 	newLeaveCommand,
 	newLoadCommand,
 	newSimulateCommand,
+	newSoakCommand,
 	newStatusCommand,
 	newVersionCommand,
 }
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -9,10 +9,12 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"boragehinge.example/boragehinge/entry"
 	"boragehinge.example/boragehinge/internal/configlog"
+	"boragehinge.example/boragehinge/internal/emulator"
 	"boragehinge.example/boragehinge/internal/model"
 	"boragehinge.example/boragehinge/internal/platform"
 	"boragehinge.example/boragehinge/internal/platform/standin"
@@ -37,6 +39,8 @@
 	LogLevel  string    // debug, info, warn or error; empty means warn
 	Seed      uint64    // of the emulated upstreams
 	Operator  string    // of the first configuration; empty means dev
+	// Observe receives the events of the emulated upstreams; may be nil.
+	Observe func(upstream string, e emulator.Event)
 }
 
 // Ports are the first ports in use. Entry i listens for callers on Callers+10*i, for peers on the next port, and for
@@ -47,15 +51,18 @@
 type Installation struct {
 	Platform    *standin.Server
 	PlatformURL string
-	Entries     []*Entry
+	Entries     []*Entry // changed by ReplaceEntry; List is safe beside it
 
-	upstreams *upstreams
-	server    *http.Server
-	cut       context.CancelFunc
-	stop      context.CancelFunc
-	stopped   chan struct{}
-	runs      sync.WaitGroup
-	failures  chan error
+	options    Options
+	mu         sync.Mutex // guards Entries against ReplaceEntry
+	upstreams  *upstreams
+	server     *http.Server
+	cut        context.CancelFunc
+	cutContext context.Context //nolint:containedctx // parent of the entries that start later
+	stop       context.CancelFunc
+	stopped    chan struct{}
+	runs       sync.WaitGroup
+	failures   chan error
 }
 
 // Entry is one entry of an installation.
@@ -63,8 +70,10 @@
 	*entry.Entry
 	Host, DataCentre                  string
 	Callers, PeerAddress, OperatorsAt string
-	stop                              context.CancelFunc
+	stop, kill                        context.CancelFunc
 	ended                             chan struct{}
+	killed                            atomic.Bool
+	err                               error // set before ended is closed
 }
 
 // Start starts everything and returns when all entries have the first configuration in force. Stop must follow.
@@ -77,7 +86,7 @@
 }
 
 func (in *Installation) start(ctx context.Context, o Options) error {
-	in.upstreams = newUpstreams(o.Seed)
+	in.upstreams = newUpstreams(o.Seed, o.Observe)
 	if err := in.upstreams.ensure(o.Inventory); err != nil {
 		return err
 	}
@@ -117,7 +126,7 @@
 // startEntries opens all ports before any entry runs, because the host list names them.
 func (in *Installation) startEntries(o Options) error {
 	cut, cutNow := context.WithCancel(context.Background())
-	in.cut = cutNow
+	in.cut, in.cutContext, in.options = cutNow, cut, o
 	running, stop := context.WithCancel(context.Background())
 	in.stop = stop
 	centres := dataCentres(o.Inventory)
@@ -125,9 +134,11 @@
 		o.Entries = len(centres)
 	}
 	for i := range o.Entries {
-		if err := in.newEntry(o, i, centres[i%len(centres)]); err != nil {
+		e, err := newEntry(o, i, centres[i%len(centres)], in.PlatformURL)
+		if err != nil {
 			return err
 		}
+		in.Entries = append(in.Entries, e)
 	}
 	in.setHosts(nil, platform.HostLive)
 	for _, e := range in.Entries {
@@ -137,7 +148,7 @@
 	return nil
 }
 
-func (in *Installation) newEntry(o Options, i int, dc string) error {
+func newEntry(o Options, i int, dc, platformURL string) (*Entry, error) {
 	port := func(n int) string {
 		if o.Ports.Callers == 0 {
 			return loopback(0)
@@ -158,28 +169,33 @@
 	host := fmt.Sprintf("entry-%02d", i+1)
 	e, err := entry.New(settings.Settings{
 		Host: host, DataCentre: dc, CallersListen: port(0), PeersListen: port(1), OperatorsListen: port(2),
-		PlatformUrl: in.PlatformURL, InsecureLoopback: true, LogLevel: settings.SettingsLogLevel(level),
+		PlatformUrl: platformURL, InsecureLoopback: true, LogLevel: settings.SettingsLogLevel(level),
 		DecisionLogPerSecond: 200, MaxHeaderBytes: 64 << 10, MaxBodyBytes: 1 << 30,
 		AddressKeepSeconds: keepSeconds, StopTimeoutSeconds: stopSeconds,
 	}, entry.WithLog(log))
 	if err != nil {
-		return fmt.Errorf("%s: %w", host, err)
+		return nil, fmt.Errorf("%s: %w", host, err)
 	}
 	callers, peers, operators := e.Addresses()
-	in.Entries = append(in.Entries, &Entry{
+	return &Entry{
 		Entry: e, Host: host, DataCentre: dc, Callers: callers, PeerAddress: peers, OperatorsAt: operators,
-		stop: func() {}, ended: make(chan struct{}),
-	})
-	return nil
+		stop: func() {}, kill: func() {}, ended: make(chan struct{}),
+	}, nil
 }
 
-func (in *Installation) run(cut context.Context, e *Entry) {
+func (in *Installation) run(cut context.Context, e *Entry) { //nolint:gosec // kill and stop are called by Kill
 	ctx, stop := context.WithCancel(context.Background())
-	e.stop = stop
+	cut, kill := context.WithCancel(cut)
+	e.stop, e.kill = stop, kill
 	in.runs.Go(func() {
 		defer close(e.ended)
-		if err := e.Run(ctx, cut); err != nil {
-			in.failures <- fmt.Errorf("%s: %w", e.Host, err)
+		defer kill()
+		if err := e.Run(ctx, cut); err != nil && !e.killed.Load() {
+			e.err = fmt.Errorf("%s: %w", e.Host, err)
+			select {
+			case in.failures <- e.err:
+			default:
+			}
 		}
 	})
 }
@@ -228,7 +244,7 @@
 func (in *Installation) followUpstreams(ctx context.Context) {
 	version := int64(0)
 	for platform.Sleep(ctx, 100*time.Millisecond) == nil {
-		snapshot := in.Entries[0].Snapshot()
+		snapshot := in.List()[0].Snapshot()
 		if snapshot == nil || snapshot.Version() == version {
 			continue
 		}
@@ -258,38 +274,13 @@
 	return in.Kill()
 }
 
-// StopEntry stops one entry as planned and returns when it has ended. The host list shows it as leaving meanwhile, and
-// without it afterwards.
-func (in *Installation) StopEntry(i int) {
-	e := in.Entries[i]
-	in.setHosts(e, platform.HostLeaving)
-	e.stop()
-	<-e.ended
-	in.setHosts(e, "")
-}
-
-// setHosts sets the host list. The state of one entry is given; an empty one leaves it out.
-func (in *Installation) setHosts(changed *Entry, state platform.HostState) {
-	var hosts []platform.Host
-	for _, e := range in.Entries {
-		h := platform.Host{Name: e.Host, DataCentre: e.DataCentre, Address: e.PeerAddress, State: platform.HostLive}
-		if e == changed {
-			h.State = state
-		}
-		if h.State != "" {
-			hosts = append(hosts, h)
-		}
-	}
-	in.Platform.SetHosts(hosts)
-}
-
 // Kill ends everything at once. It returns the failures so far.
 func (in *Installation) Kill() error {
 	if in.cut != nil {
 		in.cut()
 		in.stop()
 	}
-	for _, e := range in.Entries {
+	for _, e := range in.List() {
 		e.stop()
 		_ = e.Close()
 	}
--- a/internal/dev/dev_test.go
+++ b/internal/dev/dev_test.go
@@ -150,7 +150,7 @@
 			}
 		})
 	}
-	in.StopEntry(1)
+	require.NoError(t, in.StopEntry(1))
 	close(stopped)
 	wait.Wait()
 	assert.Zero(t, ends[client.NotRun]+ends[client.Unknown], ends)
--- a/internal/dev/upstreams.go
+++ b/internal/dev/upstreams.go
@@ -22,14 +22,15 @@
 
 // upstreams are the emulated upstreams by name. It is safe for concurrent use.
 type upstreams struct {
-	seed   uint64
-	mu     sync.Mutex
-	byName map[string]*emulator.Server
-	closed bool
+	seed    uint64
+	observe func(upstream string, e emulator.Event)
+	mu      sync.Mutex
+	byName  map[string]*emulator.Server
+	closed  bool
 }
 
-func newUpstreams(seed uint64) *upstreams {
-	return &upstreams{seed: seed, byName: map[string]*emulator.Server{}}
+func newUpstreams(seed uint64, observe func(string, emulator.Event)) *upstreams {
+	return &upstreams{seed: seed, observe: observe, byName: map[string]*emulator.Server{}}
 }
 
 // ensure starts the upstreams of the inventory that don't run yet. It reports all that cannot be started.
@@ -62,9 +63,13 @@
 	if ip := net.ParseIP(host); ip == nil || !ip.IsLoopback() {
 		return fmt.Errorf("%s is no loopback address, so it cannot be emulated here", up.Address)
 	}
-	s := emulator.New(emulator.Config{
+	cfg := emulator.Config{
 		Name: up.Name, Seed: u.seed + uint64(len(u.byName)), Slots: up.Slots, Routes: routes(snapshot, service),
-	})
+	}
+	if u.observe != nil {
+		cfg.Observe = func(e emulator.Event) { u.observe(up.Name, e) }
+	}
+	s := emulator.New(cfg)
 	if err := s.Start(up.Address); err != nil {
 		return err
 	}
--- a/internal/emulator/config.go
+++ b/internal/emulator/config.go
@@ -15,6 +15,7 @@
 	Routes     []Route // first match wins; other paths take DefaultTime
 	Cold       Cold
 	StartCold  bool
+	Observe    func(Event) // receives each event; called from the goroutines of requests, must not block; may be nil
 }
 
 // DefaultTime is the service time of paths without a route.
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -254,8 +254,8 @@
 			{"/l", Distribution{Kind: LogNormal, Typical: time.Second, Sigma: 1}}}})
 		var out strings.Builder
 		for i := range 50 {
-			wait, failed := s.plan([]string{"/e", "/l"}[i%2], &Faults{})
-			_, _ = fmt.Fprint(&out, wait, failed)
+			wait, failed, overload := s.plan([]string{"/e", "/l"}[i%2], &Faults{})
+			_, _ = fmt.Fprint(&out, wait, failed, overload)
 		}
 		return out.String()
 	}
--- a/internal/emulator/handler.go
+++ b/internal/emulator/handler.go
@@ -30,6 +30,7 @@
 	case "/-/executions":
 		s.serveExecutions(w, r)
 	case "/-/health":
+		s.observe(EventProbe, r)
 		s.setLoad(w)
 	default:
 		s.serveWork(w, r)
@@ -49,6 +50,7 @@
 	defer cancel()
 	faults := s.faults.Load()
 	if faults.Draining || faults.Shed || !s.enter(ctx) {
+		s.observe(EventRefused, r)
 		s.refuse(w, faults)
 		return
 	}
@@ -56,6 +58,7 @@
 	defer func() { s.leave(success) }()
 	id := r.Header.Get(headerRequestID)
 	s.record.count(id, func(e *Execution) { e.Begun++ })
+	s.observe(EventBegun, r)
 	if faults.crashes(id, r.URL.Path) {
 		s.Crash(faults.crashDown())
 		panic(http.ErrAbortHandler)
@@ -65,13 +68,17 @@
 		s.record.count(id, func(e *Execution) { e.Cancelled++ })
 		panic(http.ErrAbortHandler)
 	}
-	wait, failed := s.plan(r.URL.Path, faults)
+	wait, failed, overload := s.plan(r.URL.Path, faults)
+	if overload {
+		s.observe(EventOverload, r)
+	}
 	if !sleep(ctx, wait) {
 		s.record.count(id, func(e *Execution) { e.Cancelled++ })
 		s.giveUp(w, r)
 		return
 	}
 	s.record.count(id, func(e *Execution) { e.Completed++ })
+	s.observe(EventCompleted, r)
 	s.setLoad(w)
 	w.Header().Set(HeaderEcho, id)
 	w.Header().Set(HeaderBodyBytes, strconv.FormatInt(size, 10))
@@ -138,11 +145,13 @@
 	http.Error(w, "no capacity", http.StatusServiceUnavailable)
 }
 
-// plan draws the service time of a request and whether it fails.
-func (s *Server) plan(path string, faults *Faults) (wait time.Duration, failed bool) {
+// plan draws the service time of a request and whether it fails or is above the allowance of a cold server.
+func (s *Server) plan(path string, faults *Faults) (wait time.Duration, failed, overload bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	before := s.slots.overloads
 	factor, ok := s.slots.begin(time.Now())
+	overload = s.slots.overloads > before
 	wait = time.Duration(float64(s.distribution(path).draw(s.rng)) * factor)
 	if faults.SlowFactor > 0 {
 		wait = time.Duration(float64(wait) * faults.SlowFactor)
@@ -152,7 +161,7 @@
 	if failed && faults.FailFast {
 		wait = 0
 	}
-	return wait, failed
+	return wait, failed, overload
 }
 
 func (s *Server) distribution(path string) Distribution {
