--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -41,6 +41,9 @@
 	Operator  string    // of the first configuration; empty means dev
 	// Observe receives the events of the emulated upstreams; may be nil.
 	Observe func(upstream string, e emulator.Event)
+	// PeerPath opens an address through which the other entries reach the peers' port of a host, and returns it with a
+	// function that takes the address of that port. Nil leaves the port itself.
+	PeerPath func(host string) (address string, listening func(address string), err error)
 }
 
 // Ports are the first ports in use. Entry i listens for callers on Callers+10*i, for peers on the next port, and for
@@ -167,8 +170,15 @@
 		log = withoutDecisions{log}
 	}
 	host := fmt.Sprintf("entry-%02d", i+1)
+	advertise, listening := "", func(string) {}
+	if o.PeerPath != nil {
+		var err error
+		if advertise, listening, err = o.PeerPath(host); err != nil {
+			return nil, fmt.Errorf("%s: %w", host, err)
+		}
+	}
 	e, err := entry.New(settings.Settings{
-		Host: host, DataCentre: dc, CallersListen: port(0), PeersListen: port(1), OperatorsListen: port(2),
+		Host: host, DataCentre: dc, CallersListen: port(0), PeersListen: port(1), PeersAdvertise: advertise, OperatorsListen: port(2),
 		PlatformUrl: platformURL, InsecureLoopback: true, LogLevel: settings.SettingsLogLevel(level),
 		DecisionLogPerSecond: 200, MaxHeaderBytes: 64 << 10, MaxBodyBytes: 1 << 30,
 		AddressKeepSeconds: keepSeconds, StopTimeoutSeconds: stopSeconds,
@@ -177,6 +187,10 @@
 		return nil, fmt.Errorf("%s: %w", host, err)
 	}
 	callers, peers, operators := e.Addresses()
+	listening(peers)
+	if advertise != "" {
+		peers = advertise
+	}
 	return &Entry{
 		Entry: e, Host: host, DataCentre: dc, Callers: callers, PeerAddress: peers, OperatorsAt: operators,
 		stop: func() {}, kill: func() {}, ended: make(chan struct{}),
@@ -261,10 +275,10 @@
 // Stop stops in order: the entries one after another as planned, then the upstreams and the platform. The end of ctx
 // cuts what still runs.
 func (in *Installation) Stop(ctx context.Context) error {
-	for _, e := range in.Entries {
+	for _, e := range in.List() {
 		e.stop()
 	}
-	for _, e := range in.Entries {
+	for _, e := range in.List() {
 		select {
 		case <-e.ended:
 		case <-ctx.Done():
@@ -305,7 +319,7 @@
 // CallerAddresses returns the callers' ports of all entries.
 func (in *Installation) CallerAddresses() []string {
 	var out []string
-	for _, e := range in.Entries {
+	for _, e := range in.List() {
 		out = append(out, e.Callers)
 	}
 	return out
@@ -314,7 +328,7 @@
 // OperatorAddresses returns the operators' ports of all entries.
 func (in *Installation) OperatorAddresses() []string {
 	var out []string
-	for _, e := range in.Entries {
+	for _, e := range in.List() {
 		out = append(out, e.OperatorsAt)
 	}
 	return out
--- a/internal/soak/checkworld.go
+++ b/internal/soak/checkworld.go
@@ -155,7 +155,7 @@
 func (c *checker) lostUpstream(at time.Time) bool {
 	for _, s := range c.r.Spans {
 		switch s.Kind {
-		case Crash, Poison, Silence, Kill:
+		case Crash, Poison, Silence, Kill, LinkCut:
 			if !at.Before(s.Begin) && (s.End.IsZero() || at.Before(s.End.Add(time.Second))) {
 				return true
 			}
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -16,10 +16,11 @@
 
 // injector carries out the plan.
 type injector struct {
-	in   *dev.Installation
-	rec  *recorder
-	ops  *operation
-	call *callers
+	in    *dev.Installation
+	rec   *recorder
+	ops   *operation
+	call  *callers
+	links *links
 
 	mu       sync.Mutex
 	next     int
@@ -57,6 +58,8 @@
 		j.entry(ctx, f)
 	case LogDown, LogSlow, LogLoses, HostsLag, GhostHosts:
 		j.platform(ctx, f)
+	case LinkCut:
+		j.linkCut(ctx, f)
 	case Race:
 		defer j.rec.begin(Race, "")()
 		j.failed(ctx, Race, j.ops.race(ctx))
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -30,6 +30,7 @@
 	LogLoses      Kind = "log-loses"
 	HostsLag      Kind = "hosts-lag"
 	GhostHosts    Kind = "ghost-hosts"
+	LinkCut       Kind = "link-cut"
 	Race          Kind = "race"
 	CentreLeaves  Kind = "centre-leaves"
 	UpstreamLeave Kind = "upstream-leaves"
@@ -40,7 +41,7 @@
 // Kinds lists all kinds.
 func Kinds() []Kind {
 	return []Kind{Slow, FailFast, FailRoute, Shed, Crash, Cold, Drain, FalseReport, Silence, Poison, Kill, PlannedStop, LogDown,
-		LogSlow, LogLoses, HostsLag, GhostHosts, Race, CentreLeaves, UpstreamLeave, GoodVersion, BadVersion}
+		LogSlow, LogLoses, HostsLag, GhostHosts, LinkCut, Race, CentreLeaves, UpstreamLeave, GoodVersion, BadVersion}
 }
 
 // ParseKinds reads names of kinds. No names mean all kinds.
@@ -83,7 +84,7 @@
 // away at the same time is beyond what the design page covers with a small installation.
 func exclusive(k Kind) string {
 	switch k {
-	case Kill, PlannedStop:
+	case Kill, PlannedStop, LinkCut:
 		return "entries"
 	case CentreLeaves:
 		return "centres"
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -39,6 +39,8 @@
 		return nil, err
 	}
 	rec := &recorder{}
+	peers := &links{byHost: map[string]*link{}}
+	defer peers.close()
 	want := desired{leaving: map[string]bool{}, returned: map[string]bool{}, port: port, hostAddress: o.Network}
 	inv, err := parse(want.document())
 	if err != nil {
@@ -46,13 +48,14 @@
 	}
 	in, err := dev.Start(ctx, dev.Options{
 		Inventory: inv, Entries: o.Entries, Log: o.Log, LogLevel: "warn", Seed: o.Seed, Operator: "soak",
-		Observe: func(upstream string, e emulator.Event) { rec.observe(upstream, e) },
+		Observe:  func(upstream string, e emulator.Event) { rec.observe(upstream, e) },
+		PeerPath: peers.open,
 	})
 	if err != nil {
 		return nil, err
 	}
 	ops := &operation{want: want, log: in.Platform, rec: rec}
-	failed := soak(ctx, o, in, rec, ops)
+	failed := soak(ctx, o, in, rec, ops, peers)
 	stopping, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopLimit)
 	defer cancel()
 	records := rec.records()
@@ -62,11 +65,11 @@
 }
 
 // soak runs the faults and the calls, and returns when all have ended.
-func soak(ctx context.Context, o Options, in *dev.Installation, rec *recorder, ops *operation) error {
+func soak(ctx context.Context, o Options, in *dev.Installation, rec *recorder, ops *operation, peers *links) error {
 	following, stop := context.WithCancel(ctx)
 	defer stop()
 	calls := &callers{in: in, rec: rec, seed: o.Seed}
-	j := &injector{in: in, rec: rec, ops: ops, call: calls, switched: map[string]map[int]func(*emulator.Faults){}}
+	j := &injector{in: in, rec: rec, ops: ops, call: calls, links: peers, switched: map[string]map[int]func(*emulator.Faults){}}
 	rec.add(func(r *Records) { r.Begin = time.Now() })
 	running, end := context.WithTimeout(ctx, o.Duration)
 	defer end()
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -11,7 +11,7 @@
 // Guards against calls that are lost, doubled, crossed, truncated or untruthfully refused under faults, and against
 // configurations that revert. Counts with a bound in time are left out, so that a slow machine changes no verdict.
 func TestSoakKeepsCallsSafe(t *testing.T) {
-	r, err := Run(t.Context(), Options{Duration: 15 * time.Second, Seed: 11, Kinds: Kinds(), Entries: 6, Rate: 40, Network: "127.0.62"})
+	r, err := Run(t.Context(), Options{Duration: 15 * time.Second, Seed: 346, Kinds: Kinds(), Entries: 6, Rate: 40, Network: "127.0.62"})
 	require.NoError(t, err)
 	for _, v := range r.Violations {
 		t.Log(v.text(r.Begin))
@@ -20,5 +20,7 @@
 		assert.Zero(t, r.Counts[name], name)
 	}
 	assert.Positive(t, r.Outcomes["done"])
-	assert.Greater(t, len(r.Faults), 3)
+	for _, kind := range []Kind{Kill, Crash, Cold, Silence, Poison, LogDown, CentreLeaves, BadVersion} {
+		assert.Positive(t, r.Faults[kind], "the seed must have the fault %s", kind)
+	}
 }
