--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -24,6 +25,9 @@
 	resendPause = 200 * time.Millisecond
 	maxOpen     = 400 // calls at a time; further ones are left out
 	echoLimit   = 64 << 10
+	// Bursts fill the slots and queues, which an even load of a small installation doesn't.
+	burstCalls = 60
+	burstEvery = 240
 )
 
 // callers send calls until their context ends.
@@ -59,10 +63,16 @@
 func (c *callers) run(ctx context.Context, rate float64) {
 	rng := rand.New(rand.NewPCG(c.seed, 3)) //nolint:gosec // a repeatable load
 	open := make(chan struct{}, maxOpen)
+	burst := 0
 	for n := 1; ; n++ {
-		if platform.Sleep(ctx, time.Duration(rng.ExpFloat64()/rate*float64(time.Second))) != nil {
+		if burst > 0 {
+			burst--
+		} else if platform.Sleep(ctx, time.Duration(rng.ExpFloat64()/rate*float64(time.Second))) != nil {
 			break
 		}
+		if burst == 0 && rng.IntN(burstEvery) == 0 {
+			burst = burstCalls
+		}
 		s, number := shapes[rng.IntN(4)], n
 		if rng.IntN(25) == 0 {
 			s = shapes[4]
@@ -103,7 +113,8 @@
 		c.known, c.clients = known, map[string][]*client.Client{}
 		for _, name := range []string{"bench", "photos"} {
 			for i := range 2 {
-				from := append(addresses[i*len(addresses)/2:len(addresses):len(addresses)], addresses[:i*len(addresses)/2]...)
+				half := i * len(addresses) / 2
+				from := slices.Concat(addresses[half:], addresses[:half])
 				made, err := client.New(client.Settings{
 					Entries: from, Service: name, AllDataCentres: true, BufferBytes: echoLimit, Transport: &watching{
 						Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 10 * time.Second}, rec: c.rec,
--- a/internal/soak/centres.go
+++ b/internal/soak/centres.go
@@ -129,7 +129,7 @@
 		}
 		move.State = string(m.State)
 		if m.State == rollout.RolledBack && move.Stopped.IsZero() {
-			move.Stopped = time.Now()
+			move.Stopped, move.Why = time.Now(), m.Why
 		}
 	}
 }
--- a/internal/soak/checkworld.go
+++ b/internal/soak/checkworld.go
@@ -113,12 +113,17 @@
 // ended, because the next owner doesn't know when its predecessor probed last.
 func (c *checker) probes() {
 	const probeWindow = 10 * time.Second
-	byUpstream := map[string][]time.Time{}
+	byUpstream := map[string]*[]time.Time{}
 	for _, e := range c.r.Events {
 		if e.Kind != emulator.EventProbe {
 			continue
 		}
-		list := append(byUpstream[e.Upstream], e.At)
+		if byUpstream[e.Upstream] == nil {
+			byUpstream[e.Upstream] = &[]time.Time{}
+		}
+		kept := byUpstream[e.Upstream]
+		*kept = append(*kept, e.At)
+		list := *kept
 		for e.At.Sub(list[0]) > probeWindow {
 			list = list[1:]
 		}
@@ -132,7 +137,7 @@
 			c.add(Probes, e.At, "", "%s got %d probes within %s", e.Upstream, len(list), probeWindow)
 			list = nil
 		}
-		byUpstream[e.Upstream] = list
+		*kept = list
 	}
 }
 
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -76,7 +76,7 @@
 	shortest     = 500 * time.Millisecond
 	longest      = 8 * time.Second
 	centreAway   = 9 * time.Second // longer than the 5 s after which no new work may arrive
-	versionTakes = 30 * time.Second
+	versionTakes = 75 * time.Second // five steps of at least 10 s
 	quietEnd     = 2 * time.Second // without new faults at the end
 )
 
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -64,6 +64,7 @@
 	Stopped   time.Time
 	Ended     time.Time // of the last look at its state
 	State     string
+	Why       string // of the roll-back
 }
 
 // Version is the configuration in force at one run of an entry, recorded when it changes.
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -34,6 +34,7 @@
 type MoveFigures struct {
 	Name      string        `json:"name"`
 	State     string        `json:"state"`
+	Why       string        `json:"why,omitempty"`
 	Bad       bool          `json:"bad"`
 	Share     float64       `json:"share"`
 	BadFor    time.Duration `json:"badForNs"`
@@ -79,7 +80,7 @@
 }
 
 func figures(m Move, events []Event) MoveFigures {
-	out := MoveFigures{Name: m.Name, State: m.State, Bad: !m.Faulty.IsZero()}
+	out := MoveFigures{Name: m.Name, State: m.State, Why: m.Why, Bad: !m.Faulty.IsZero()}
 	if !out.Bad {
 		return out
 	}
@@ -132,6 +133,9 @@
 		if m.Bad {
 			_, _ = fmt.Fprintf(t, ", %.1f %% of the runs in the %s of its faults, %d after", 100*m.Share, m.BadFor.Round(time.Millisecond), m.RunsAfter)
 		}
+		if m.Why != "" {
+			_, _ = fmt.Fprintf(t, " (%s)", m.Why)
+		}
 		_, _ = fmt.Fprintln(t)
 	}
 	_, _ = fmt.Fprintln(t, "\nviolations")
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -42,7 +42,7 @@
 	peers := &links{byHost: map[string]*link{}}
 	defer peers.close()
 	want := desired{leaving: map[string]bool{}, returned: map[string]bool{}, port: port, hostAddress: o.Network}
-	inv, err := parse(want.document())
+	inv, err := parse(want.document(), time.Now())
 	if err != nil {
 		return nil, err
 	}
