--- a/cmd/boragehinge/soak.go
+++ b/cmd/boragehinge/soak.go
@@ -36,7 +36,7 @@
 	f.DurationVar(&o.Duration, "duration", 2*time.Minute, "time during which calls are sent")
 	f.Uint64Var(&o.Seed, "seed", 1, "seed of the schedule of faults and of the calls")
 	f.IntVar(&o.Entries, "entries", 6, "number of entries, spread over three data centres")
-	f.Float64Var(&o.Rate, "rate", 80, "calls per second")
+	f.Float64Var(&o.Rate, "rate", 150, "calls per second")
 	f.StringSliceVar(&faults, "faults", nil, "kinds of faults; all by default")
 	return c
 }
--- a/internal/soak/centres.go
+++ b/internal/soak/centres.go
@@ -105,6 +105,9 @@
 	if f.Pick%2 == 0 {
 		bad = func(f *emulator.Faults) { f.FailRoutes = map[string]float64{"/bench": 0.5} }
 	}
+	for _, name := range move.Upstreams {
+		j.apply(name, func(*emulator.Faults) {})
+	}
 	for time.Since(move.Begin) < f.For && platform.Sleep(ctx, 4*pollInterval) == nil {
 		if f.Kind == BadVersion && move.Faulty.IsZero() && time.Since(move.Begin) >= faultsAfter {
 			move.Faulty = time.Now()
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -49,7 +49,9 @@
 	lateGrace = time.Second
 	// coldGrace is the time after the first response that reports a cold upstream. Calls that were granted before it
 	// arrived have begun by then.
-	coldGrace = 500 * time.Millisecond
+	coldGrace = 200 * time.Millisecond
+	// connectionKept is the time after an answer within which an owner still has a connection, whose end shows a crash.
+	connectionKept = 5 * time.Second
 )
 
 // Violation is one broken guarantee.
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -71,6 +71,10 @@
 		{Overload, "above its allowance", func(r *Records) {
 			r.Events = append(r.Events, cold(event(2, "a", emulator.EventCompleted, "/o/1")), event(2.6, "a", emulator.EventOverload, "/o/9"))
 		}},
+		{Overload, "got /o/9 above its allowance", func(r *Records) {
+			r.Spans = append(r.Spans, Span{Kind: Crash, Target: "a", Begin: at(2), End: at(2.5)})
+			r.Events = append(r.Events, event(1.6, "a", emulator.EventCompleted, "/o/1"), event(2.6, "a", emulator.EventOverload, "/o/9"))
+		}},
 		{AfterAway, "the command for e-1", func(r *Records) {
 			r.Leaves = []Leave{{What: "e-1", Upstreams: []string{"a"}, Begin: at(1), End: at(20)}}
 			r.Events = append(r.Events, event(6.1, "a", emulator.EventRefused, "/o/9"))
--- a/internal/soak/checkworld.go
+++ b/internal/soak/checkworld.go
@@ -7,23 +7,44 @@
 	"boragehinge.example/boragehinge/internal/emulator"
 )
 
-// cold judges the work that a cold upstream got above its allowance, once it had reported that it is cold.
+// eventCrashed is a crash among the events of an upstream.
+const eventCrashed emulator.EventKind = "crashed"
+
+// cold judges the work that a cold upstream got above its allowance, once it had reported that it is cold, or had lost
+// its connections in a crash.
 func (c *checker) cold() {
-	since := map[string]time.Time{}
-	for _, e := range c.r.Events {
+	since, answered := map[string]time.Time{}, map[string]time.Time{}
+	for _, e := range c.withCrashes() {
 		first := since[e.Upstream]
+		if e.Kind == emulator.EventCompleted {
+			answered[e.Upstream] = e.At
+		}
 		switch {
+		case e.Kind == eventCrashed && e.At.Sub(answered[e.Upstream]) < connectionKept:
+			since[e.Upstream] = e.At.Add(-coldGrace)
 		case e.Kind == emulator.EventCompleted && !e.ColdReported:
 			delete(since, e.Upstream)
 		case e.Kind == emulator.EventCompleted && first.IsZero():
 			since[e.Upstream] = e.At
 		case e.Kind == emulator.EventOverload && !first.IsZero() && e.At.Sub(first) > coldGrace:
-			c.add(Overload, e.At, e.ID, "%s got %s above its allowance, %s after it reported to be cold", e.Upstream, e.URI,
+			c.add(Overload, e.At, e.ID, "%s got %s above its allowance, %s after it was known to be cold", e.Upstream, e.URI,
 				e.At.Sub(first).Round(time.Millisecond))
 		}
 	}
 }
 
+// withCrashes returns the events with the crashes of the schedule among them.
+func (c *checker) withCrashes() []Event {
+	out := slices.Clone(c.r.Events)
+	for _, s := range c.r.Spans {
+		if s.Kind == Crash {
+			out = append(out, Event{s.Target, emulator.Event{At: s.Begin, Kind: eventCrashed}})
+		}
+	}
+	slices.SortStableFunc(out, func(a, b Event) int { return a.At.Compare(b.At) })
+	return out
+}
+
 // leaves judges the work that arrived after an upstream or a data centre had to be free of new work.
 func (c *checker) leaves() {
 	for _, l := range c.r.Leaves {
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -14,6 +14,10 @@
 	"boragehinge.example/boragehinge/internal/platform/standin"
 )
 
+// baseSlow is the factor on all service times, so that a moderate rate keeps a third of the slots busy. With idle slots
+// even an owner that ignores a cold upstream's allowance would rarely exceed it.
+const baseSlow = 6
+
 // injector carries out the plan.
 type injector struct {
 	in    *dev.Installation
@@ -32,6 +36,9 @@
 
 // run begins each fault at its time and waits until all have ended. The end of ctx ends them early.
 func (j *injector) run(ctx context.Context, plan []Fault) {
+	for _, name := range allUpstreams() {
+		j.apply(name, func(*emulator.Faults) {})
+	}
 	begin := time.Now()
 	for _, f := range plan {
 		if platform.Sleep(ctx, time.Until(begin.Add(f.At))) != nil {
@@ -118,7 +125,7 @@
 // switches returns the change of an upstream's switches for a kind.
 func switches(k Kind) func(*emulator.Faults) {
 	return map[Kind]func(*emulator.Faults){
-		Slow:        func(f *emulator.Faults) { f.SlowFactor = 12 },
+		Slow:        func(f *emulator.Faults) { f.SlowFactor = 12 * baseSlow },
 		FailFast:    func(f *emulator.Faults) { f.FailFast, f.FailRoutes = true, map[string]float64{"/": 1} },
 		FailRoute:   func(f *emulator.Faults) { f.FailRoutes = map[string]float64{"/bench/lookups": 0.8} },
 		Shed:        func(f *emulator.Faults) { f.Shed = true },
@@ -148,7 +155,7 @@
 
 // refresh sets the switches of an upstream from its faults. The caller holds the lock.
 func (j *injector) refresh(name string) {
-	var f emulator.Faults
+	f := emulator.Faults{SlowFactor: baseSlow}
 	for change := range maps.Values(j.switched[name]) {
 		change(&f)
 	}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -75,9 +75,9 @@
 	meanGap      = 1500 * time.Millisecond // between the begins of two faults
 	shortest     = 500 * time.Millisecond
 	longest      = 8 * time.Second
-	centreAway   = 9 * time.Second // longer than the 5 s after which no new work may arrive
+	centreAway   = 9 * time.Second  // longer than the 5 s after which no new work may arrive
 	versionTakes = 75 * time.Second // five steps of at least 10 s
-	quietEnd     = 2 * time.Second // without new faults at the end
+	quietEnd     = 2 * time.Second  // without new faults at the end
 )
 
 // exclusive returns the group of which one fault may be under way at a time: a second entry or data centre that goes
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -118,6 +118,18 @@
 	return out
 }
 
+// allUpstreams returns the upstreams without those of a new version.
+func allUpstreams() []string {
+	var out []string
+	for i := 1; i <= oldUpstreams; i++ {
+		out = append(out, fmt.Sprintf("bench-%d", i))
+	}
+	for i := 1; i <= archiveUpstreams; i++ {
+		out = append(out, fmt.Sprintf("photo-%d", i))
+	}
+	return out
+}
+
 // upstreamsIn returns the upstreams of a data centre, or the named upstream.
 func upstreamsIn(what string) []string {
 	if !strings.HasPrefix(what, "e-") {
