--- a/client/client_test.go
+++ b/client/client_test.go
@@ -371,3 +371,23 @@
 	assert.Equal(t, Unknown, r.Outcome)
 	assert.Equal(t, <-ids, <-ids)
 }
+
+// Guards against a mark of the first attempt in the caller's own headers that stays on a resend: an entry that doesn't
+// know the ID would run the call again.
+func TestCallersFirstAttemptMarkIsNotResent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork("a1:1")
+		n.entries["a1:1"].answer = func(k int, _ *http.Request) (*http.Response, error) {
+			if k == 1 {
+				return nil, errLost
+			}
+			return response(200, "done", "replayed"), nil
+		}
+		call := order
+		call.RequestID, call.Header = "order-1", http.Header{headerFirstAttempt: {"true"}}
+		assert.Equal(t, 2, do(t, n.client(t, nil), call).Attempts)
+		sent := n.entries["a1:1"].calls
+		assert.Equal(t, "true", sent[0].Header.Get(headerFirstAttempt))
+		assert.Empty(t, sent[1].Header.Get(headerFirstAttempt))
+	})
+}
--- a/client/try.go
+++ b/client/try.go
@@ -255,6 +255,9 @@
 	set(headerRequestID, t.id)
 	if t.id != "" && !t.maySent {
 		h.Set(headerFirstAttempt, "true")
+	} else {
+		// A mark in the caller's headers would be untrue on a later attempt, and let another entry run the call again.
+		h.Del(headerFirstAttempt)
 	}
 }
 
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -139,12 +139,11 @@
 	}
 	if s.opaque {
 		request.RequestID = fmt.Sprintf("soak-%d-%s", c.seed, strings.ReplaceAll(path, "/", "-"))
-		if !s.idempotent {
-			request.Header = http.Header{"Boragehinge-First-Attempt": {"true"}}
-		}
 	}
+	first := ""
 	for i := 0; ; i++ {
 		record := c.send(request, s.service, i, bytes)
+		record.First = first
 		again := i < resends && (record.Outcome == client.Unknown || record.Outcome == client.NotRun && s.idempotent)
 		if again && !s.idempotent && record.RequestID == "" {
 			again = false
@@ -164,7 +163,10 @@
 			request.Path = fmt.Sprintf("%s%sagain=%d", path, mark, i+1)
 			continue
 		}
-		request.RequestID, request.Resend, request.Header = record.RequestID, true, nil
+		if first == "" {
+			first = record.Reason
+		}
+		request.RequestID, request.Resend = record.RequestID, true
 	}
 }
 
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -20,7 +20,8 @@
 	Outcome    client.Outcome
 	Status     int
 	Reason     string
-	Whole      bool // the body ended without an error
+	First      string // reason of the first answer, when the call was resent with its ID
+	Whole      bool   // the body ended without an error
 	BodyBytes  int64
 	WantBytes  int64  // -1 when the length depends on the request ID
 	BodyFor    string // URI in the body of an echo; empty for a download
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -53,7 +53,7 @@
 	for _, c := range r.Calls {
 		name := string(c.Outcome)
 		if c.Outcome != client.Done {
-			name += " " + c.Reason
+			name = c.ending()
 		}
 		out.Outcomes[name]++
 	}
@@ -79,6 +79,22 @@
 	return out
 }
 
+// ending names the end of a call that wasn't done.
+func (c Call) ending() string {
+	name := string(c.Outcome) + " " + c.Reason
+	if c.First != "" {
+		name += ", first " + c.First
+	}
+	switch {
+	case c.Idempotent || c.RequestID == "":
+	case strings.HasPrefix(c.RequestID, "bh1."):
+		name += ", minted ID"
+	default:
+		name += ", opaque ID"
+	}
+	return name
+}
+
 func figures(m Move, events []Event) MoveFigures {
 	out := MoveFigures{Name: m.Name, State: m.State, Why: m.Why, Bad: !m.Faulty.IsZero()}
 	if !out.Bad {
