--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -26,6 +26,7 @@
 	call  *callers
 	links *links
 
+	entryMu  sync.Mutex // held while an entry is away
 	mu       sync.Mutex
 	next     int
 	switched map[string]map[int]func(*emulator.Faults) // by upstream and number of the fault
@@ -206,6 +207,12 @@
 
 // entry kills an entry or stops it as planned, and replaces it after a while.
 func (j *injector) entry(ctx context.Context, f Fault) {
+	// A stop takes longer than planned while calls run. Two replacements of one entry would run at a time.
+	j.entryMu.Lock()
+	defer j.entryMu.Unlock()
+	if ctx.Err() != nil {
+		return
+	}
 	i := int(f.Pick % uint64(len(j.in.List()))) //nolint:gosec // below the number of entries
 	e := j.in.List()[i]
 	end := j.rec.begin(f.Kind, e.Host)
@@ -220,6 +227,7 @@
 		stop.End = time.Now()
 		j.rec.add(func(r *Records) { r.Stops = append(r.Stops, stop) })
 	}
+	j.links.of(e.Host).end()
 	_ = platform.Sleep(ctx, f.For/2)
 	_, err := j.in.ReplaceEntry(i)
 	j.failed(ctx, f.Kind, err)
--- a/internal/soak/links.go
+++ b/internal/soak/links.go
@@ -42,8 +42,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, p := range l.all {
-		_ = p.ln.Close()
-		p.cut(true)
+		p.end()
 	}
 }
 
@@ -70,6 +69,12 @@
 	}
 }
 
+// end closes the link for good, so that connections are refused as at a port that nobody listens on.
+func (p *link) end() {
+	_ = p.ln.Close()
+	p.cut(true)
+}
+
 func (p *link) serve() {
 	for {
 		c, err := p.ln.Accept()
