Hold a cold upstream after a cancelled call until it has noticed

The owner granted the next call in the instant of a cancellation or a timeout, while a cold upstream still ran the cancelled one. An upstream on its ramp gets nothing for 200 ms after such a call, or until its report shows that nothing else runs. Two leavings of upstreams no longer overlap in the schedule, because the return of one ended the other.

--- a/internal/dispatch/coldstart.go
+++ b/internal/dispatch/coldstart.go
@@ -81,6 +81,20 @@
 	}
 }
 
+// abandonedHold is the time until an upstream has noticed that a call was cancelled. A soak run on a busy machine showed
+// the next call begin on a cold upstream beside the cancelled one.
+const abandonedHold = 200 * time.Millisecond
+
+// holdAbandoned keeps a limited upstream free of further calls while it may still run one that was cancelled.
+func (u *upstream) holdAbandoned(now time.Time, o Outcome) {
+	if !u.limited() || o.Kind != Cancelled && o.Kind != TimedOut {
+		return
+	}
+	if until := now.Add(abandonedHold); until.After(u.settleUntil) {
+		u.settleUntil = until
+	}
+}
+
 // observeSettled ends the wait for calls of a previous owner when a trusted report of an idle upstream shows none.
 func (u *upstream) observeSettled(rep *LoadReport) {
 	if rep != nil && !u.report.distrusted && rep.InFlight+rep.Queued <= u.inFlight {
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -203,6 +203,7 @@
 	u := c.up
 	p.release(now, c)
 	p.learn(now, u, c, o)
+	u.holdAbandoned(now, o)
 	p.relink(u)
 	p.forget(c)
 	p.dispatchQueued(now)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -88,6 +88,8 @@
 		return "entries"
 	case CentreLeaves:
 		return "centres"
+	case UpstreamLeave:
+		return "upstreams" // a return would end the other leaving of the same upstream
 	case GoodVersion, BadVersion:
 		return "versions"
 	case LogDown, LogSlow, LogLoses, HostsLag, GhostHosts:
