Send the state of a pool to its next owner

Cause: after a planned stop the next owner didn't know which upstreams were draining, ejected or cold, nor the levels of the limits.

Change: an entry that loses a pool sends dispatch.Handover to the new owner, which starts from it, or applies it to the pool that it opened a moment before.

After an unplanned loss the next owner still learns of a drain from one refused call.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -49,22 +49,23 @@
 	stops    *rollout.Stops
 	leaving  configlog.LeavingFacts
 
-	conf      atomic.Pointer[configuration]
-	confMu    sync.Mutex // serialises the building of configurations
-	hosts     atomic.Pointer[[]platform.Host]
-	ownership ownership
-	choosers  atomic.Pointer[map[chooserKey]*serviceChooser]
-	registrar *registrar
-	retries   *retries
-	poison    *poisonGuard
-	moves     *moves
-	windows   windows
-	waits     waits
-	port      *operators.Port // nil with a handler of WithOperators
-	records   recordRequests
-	cold      coldMemory
-	gauges    gauges
-	forwards  atomic.Int64 // forwarded calls in progress
+	conf       atomic.Pointer[configuration]
+	confMu     sync.Mutex // serialises the building of configurations
+	hosts      atomic.Pointer[[]platform.Host]
+	ownership  ownership
+	choosers   atomic.Pointer[map[chooserKey]*serviceChooser]
+	registrar  *registrar
+	retries    *retries
+	poison     *poisonGuard
+	moves      *moves
+	windows    windows
+	waits      waits
+	port       *operators.Port // nil with a handler of WithOperators
+	records    recordRequests
+	cold       coldMemory
+	poolStates poolHandovers
+	gauges     gauges
+	forwards   atomic.Int64 // forwarded calls in progress
 
 	ready      atomic.Bool  // the configuration was proved to be current
 	state      atomic.Int32 // lifecycle
--- a/entry/handlers.go
+++ b/entry/handlers.go
@@ -32,6 +32,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET "+peer.Path, e.webSocket().Handler(e.node.Mesh()))
 	e.recordRoutes(mux)
+	e.poolRoutes(mux)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		// The paths of forwards are those of callers, which must not be cleaned or redirected.
 		if !strings.HasPrefix(r.URL.Path, proxy.ForwardPath+"/") {
--- a/entry/ownership.go
+++ b/entry/ownership.go
@@ -133,6 +133,7 @@
 func (o *ownedPool) lose(now time.Time) {
 	if o.lostAt.CompareAndSwap(0, now.UnixNano()) {
 		o.e.log.Info().Str("pool", o.key).Int64("running", o.calls.Load()).Msg("pool handed over")
+		o.sendState(now)
 	}
 	if !o.withinHandover(now) {
 		o.retire()
@@ -157,7 +158,7 @@
 	o.closed = false
 	o.mu.Unlock()
 	o.lostAt.Store(0)
-	o.configure(conf, p, takeover(now))
+	o.configure(conf, p, o.e.handoverOption(now, o.key))
 }
 
 // finished reports whether a pool that was handed over has no calls left.
--- a/entry/peerhttp.go
+++ b/entry/peerhttp.go
@@ -21,6 +21,8 @@
 	pathLookup  = "/idempotency/lookup"
 	pathRecords = "/idempotency/records"
 	pathMoved   = "/idempotency/moved"
+	// pathPoolState takes the JSON form of dispatch.Handover, which defines it.
+	pathPoolState = "/pools/state"
 )
 
 // maxPeerBody holds a batch of records with the largest stored answers.
@@ -28,7 +30,11 @@
 
 // askPeer sends a JSON request to the peer port of another entry. A nil in or out stands for no body.
 func (e *Entry) askPeer(ctx context.Context, address, method, path string, in, out any) error {
-	req := &http.Request{Method: method, URL: &url.URL{Path: path}, Host: address, Header: http.Header{}, Body: http.NoBody}
+	target, err := url.Parse(path)
+	if err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	req := &http.Request{Method: method, URL: target, Host: address, Header: http.Header{}, Body: http.NoBody}
 	if in != nil {
 		data, err := json.Marshal(in)
 		if err != nil {
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -92,7 +92,7 @@
 	spec := e.poolSpec(conf, p)
 	o.e.cold.mark(time.Now(), p.ID, &spec)
 	rng := rand.New(rand.NewSource(rand.Int63())) //nolint:gosec // spreads probes only
-	o.pool = dispatch.New(spec, rng, takeover(time.Now()))
+	o.pool = dispatch.New(spec, rng, e.handoverOption(time.Now(), o.key))
 	o.remember(conf, p)
 	o.done.Add(2)
 	go func() { defer o.done.Done(); o.transport.Run(ctx) }()
