--- /dev/null
+++ b/internal/processtest/kill_test.go
@@ -0,0 +1,44 @@
+//go:build linux
+
+package processtest
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"boragehinge.example/boragehinge/internal/emulator"
+)
+
+// Guards against the death of an entry that leaves its pools without an owner, fails idempotent calls, or lets a
+// successor run calls again whose record died.
+func TestKilledEntryIsReplacedUnderLoad(t *testing.T) {
+	w := newWorld(t)
+	for _, name := range []string{"u1", "u2", "u3"} {
+		w.upstream(name, emulator.Config{Slots: 4, Routes: []emulator.Route{
+			{Prefix: "/orders", Time: emulator.Distribution{Kind: emulator.Fixed, Typical: 20 * time.Millisecond}},
+		}})
+	}
+	w.apply(w.inventory("", target{"u1", "dc-1", "1"}, target{"u2", "dc-1", "1"}, target{"u3", "dc-1", "1"}))
+	list := w.entries("dc-1", "e1", "e2", "e3")
+	w.settled(list...)
+	l := w.newLoad()
+	l.idempotent(3, list)
+	l.resent(4, list)
+	l.more(100)
+	dead := w.owner("dc-1", list...)
+	dead.kill()
+	var rest []*process
+	for _, p := range list {
+		if p != dead {
+			rest = append(rest, p)
+		}
+	}
+	w.eventually("another entry owns the pool", func() bool { return w.owner("dc-1", rest...) != nil })
+	l.more(100)
+	time.Sleep(time.Second)
+	l.stop()
+	assert.Empty(t, l.bad)
+	l.assertAtMostOnce(50)
+}
