--- a/internal/processtest/kill_test.go
+++ b/internal/processtest/kill_test.go
@@ -16,9 +16,7 @@
 func TestKilledEntryIsReplacedUnderLoad(t *testing.T) {
 	w := newWorld(t)
 	for _, name := range []string{"u1", "u2", "u3"} {
-		w.upstream(name, emulator.Config{Slots: 4, Routes: []emulator.Route{
-			{Prefix: "/orders", Time: emulator.Distribution{Kind: emulator.Fixed, Typical: 20 * time.Millisecond}},
-		}})
+		w.upstream(name, emulator.Config{Slots: 4, Routes: []emulator.Route{route("/orders", 20*time.Millisecond)}})
 	}
 	w.apply(w.inventory("", target{"u1", "dc-1", "1"}, target{"u2", "dc-1", "1"}, target{"u3", "dc-1", "1"}))
 	list := w.entries("dc-1", "e1", "e2", "e3")
@@ -29,12 +27,7 @@
 	l.more(100)
 	dead := w.owner("dc-1", list...)
 	dead.kill()
-	var rest []*process
-	for _, p := range list {
-		if p != dead {
-			rest = append(rest, p)
-		}
-	}
+	rest := without(list, dead)
 	w.eventually("another entry owns the pool", func() bool { return w.owner("dc-1", rest...) != nil })
 	l.more(100)
 	time.Sleep(time.Second)
