--- a/internal/processtest/load_test.go
+++ b/internal/processtest/load_test.go
@@ -92,9 +92,16 @@
 	}()
 }
 
-// idempotent makes callers send GET calls through the Go client of callers.
-func (l *load) idempotent(callers int, entries []*process) *client.Client {
-	c, err := client.New(client.Settings{Entries: addresses(entries), Service: "orders", Deadline: 20 * time.Second})
+// idempotent makes callers send GET calls through the Go client of callers, which resends them.
+func (l *load) idempotent(callers int, entries []*process) { l.get(callers, entries, 4) }
+
+// once is idempotent without resends, so that each call that an entry cuts or refuses is seen.
+func (l *load) once(callers int, entries []*process) { l.get(callers, entries, 1) }
+
+func (l *load) get(callers int, entries []*process, attempts int) {
+	c, err := client.New(client.Settings{
+		Entries: addresses(entries), Service: "orders", Deadline: 20 * time.Second, MaxAttempts: attempts,
+	})
 	require.NoError(l.w.t, err)
 	l.w.t.Cleanup(c.Close)
 	for n := range callers {
@@ -112,7 +119,6 @@
 			l.bad = append(l.bad, fmt.Sprintf("%+v, %v", r, err))
 		})
 	}
-	return c
 }
 
 // resent makes callers send each non-idempotent call to three entries in turn, whatever the answers are. Half of the IDs
--- a/internal/processtest/stop_test.go
+++ b/internal/processtest/stop_test.go
@@ -77,7 +77,7 @@
 	w.settled(list...)
 	leaving := w.owner("dc-1", list...)
 	l := w.newLoad()
-	l.idempotent(3, list)
+	l.once(3, list)
 	l.more(50)
 	const size, parts, part = 64 << 20, 128, 32 << 10 // bodies that an entry does not hold in memory
 	id := w.prefix(leaving) + ".upload"
@@ -144,7 +144,7 @@
 	list := w.entries("dc-1", "e1", "e2", "e3")
 	w.settled(list...)
 	l := w.newLoad()
-	l.idempotent(4, list)
+	l.once(4, list)
 	l.more(50)
 	for i, p := range list {
 		p.signal(syscall.SIGTERM)
@@ -169,7 +169,7 @@
 	all := append(append([]*process{}, first...), second...)
 	w.settled(all...)
 	l := w.newLoad()
-	l.idempotent(4, all)
+	l.once(4, all)
 	l.more(50)
 	for _, p := range first {
 		p.signal(syscall.SIGTERM)
