--- a/entry/ownership.go
+++ b/entry/ownership.go
@@ -14,8 +14,8 @@
 	// controlTick is the interval at which ownership is compared with the view.
 	controlTick = 50 * time.Millisecond
 	// keepServing is the time for which a pool that was handed over still serves calls on warm upstreams. Heartbeats
-	// carry the change to all entries within two of their intervals.
-	keepServing = time.Second
+	// carry the change to the entries of the data centre within two of their intervals, digests to others within 2 s.
+	keepServing = 2500 * time.Millisecond
 )
 
 // ownership holds the pools that are open at this entry. Calls read the map without a lock; changes copy it.
--- a/entry/poison.go
+++ b/entry/poison.go
@@ -29,11 +29,20 @@
 	evidence atomic.Int64 // end of the time in which there may be evidence, Unix nanoseconds
 
 	mu   sync.Mutex
-	lost map[string][]poison.Fingerprints // by upstream, since the last lost connection was noticed
+	lost map[string]*lostConnections // by upstream, since the last lost connection was noticed
+	// pending has the confirmations that a request waits for, by its digest.
+	pending map[string]*lostConnections
+	waiting atomic.Int64 // length of pending
+}
+
+// lostConnections are the requests that ran when connections to one upstream were lost.
+type lostConnections struct {
+	running   []poison.Fingerprints
+	confirmed chan struct{} // closed when it is known whether the upstream crashed
 }
 
 func newPoisonGuard(e *Entry) *poisonGuard {
-	return &poisonGuard{e: e, detector: poison.NewDetector(), lost: map[string][]poison.Fingerprints{}}
+	return &poisonGuard{e: e, detector: poison.NewDetector(), lost: map[string]*lostConnections{}, pending: map[string]*lostConnections{}}
 }
 
 func digest(fingerprint string) poison.Fingerprints {
@@ -46,6 +55,15 @@
 
 // Blocked implements proxy.Poison.
 func (g *poisonGuard) Blocked(now time.Time, fingerprint string) bool {
+	if g.waiting.Load() > 0 {
+		g.mu.Lock()
+		l := g.pending[digest(fingerprint).Content]
+		g.mu.Unlock()
+		if l != nil {
+			<-l.confirmed // at most gatherLost and confirmTime
+			now = time.Now()
+		}
+	}
 	if !g.active(now) {
 		return false
 	}
@@ -61,21 +79,29 @@
 
 // ConnectionLost implements proxy.Poison. The loss counts only once the upstream proves to be gone.
 func (g *poisonGuard) ConnectionLost(_ time.Time, fingerprint, upstream string) {
+	d := digest(fingerprint)
 	g.mu.Lock()
-	first := len(g.lost[upstream]) == 0
-	g.lost[upstream] = append(g.lost[upstream], digest(fingerprint))
+	l, known := g.lost[upstream]
+	if !known {
+		l = &lostConnections{confirmed: make(chan struct{})}
+		g.lost[upstream] = l
+	}
+	l.running = append(l.running, d)
+	g.pending[d.Content] = l
+	g.waiting.Store(int64(len(g.pending)))
 	g.mu.Unlock()
-	if first {
+	if !known {
 		g.e.background.Add(1)
-		go func() { defer g.e.background.Done(); g.confirm(upstream) }()
+		go func() { defer g.e.background.Done(); g.confirm(upstream, l) }()
 	}
 }
 
 // confirm tries to connect to the upstream, and counts a crash if it refuses.
-func (g *poisonGuard) confirm(upstream string) {
+func (g *poisonGuard) confirm(upstream string, l *lostConnections) {
+	defer g.settled(l)
 	time.Sleep(gatherLost)
 	g.mu.Lock()
-	running := g.lost[upstream]
+	running := l.running
 	delete(g.lost, upstream)
 	g.mu.Unlock()
 	conf := g.e.conf.Load()
@@ -97,6 +123,19 @@
 	g.crashed(u.Service, upstream, running)
 }
 
+// settled lets the requests go on that wait for the confirmation.
+func (g *poisonGuard) settled(l *lostConnections) {
+	g.mu.Lock()
+	for _, d := range l.running {
+		if g.pending[d.Content] == l {
+			delete(g.pending, d.Content)
+		}
+	}
+	g.waiting.Store(int64(len(g.pending)))
+	g.mu.Unlock()
+	close(l.confirmed)
+}
+
 func (g *poisonGuard) crashed(service, upstream string, running []poison.Fingerprints) {
 	now := time.Now()
 	g.evidence.Store(now.Add(poison.Memory).UnixNano())
--- a/entry/pools.go
+++ b/entry/pools.go
@@ -83,9 +83,11 @@
 	if len(tried) == 0 {
 		version = p.version(now, conf, c)
 	}
-	if pool, again := p.newOwner(conf, tried); again {
-		p.record(now, c, pool, "chosen", "the owner changed")
-		return pool, true
+	if len(tried) > 0 && tried[len(tried)-1].Reason == proxy.ReasonWrongOwner {
+		if pool, again := p.newOwner(conf, c, tried); again {
+			p.record(now, c, pool, "chosen", "the owner changed")
+			return pool, true
+		}
 	}
 	if pool, ok := p.next(now, conf, c.Service, version, tried); ok {
 		p.record(now, c, pool, "chosen", "")
@@ -97,6 +99,10 @@
 			return pool, true
 		}
 	}
+	if pool, again := p.newOwner(conf, c, tried); again {
+		p.record(now, c, pool, "chosen", "the owner changed")
+		return pool, true
+	}
 	p.record(now, c, proxy.Pool{Version: version}, "refused", reasonNotFound)
 	return proxy.Pool{}, false
 }
@@ -113,36 +119,61 @@
 }
 
 const (
-	// ownerWait is the time in which a changed owner becomes known, by the next heartbeats. Together with the attempts of
-	// a call it covers two heartbeat intervals.
-	ownerWait     = 150 * time.Millisecond
-	ownerWaitStep = 10 * time.Millisecond
+	// ownerWait is the time in which a changed owner becomes known inside the data centre, by the next heartbeats.
+	// Together with the attempts of a call it covers two heartbeat intervals.
+	ownerWait = 150 * time.Millisecond
+	// remoteOwnerWait is the same for pools of other data centres, whose members are known from digests once a second.
+	remoteOwnerWait = 1500 * time.Millisecond
+	// lostOwnerWait is the time in which the death of an owner is noticed, with the time until its pools have a new one.
+	// The first waits are shorter, since the owner may have been restarted under its address.
+	lostOwnerWait      = lossNoticed + 500*time.Millisecond
+	firstLostOwnerWait = 250 * time.Millisecond
+	ownerWaitStep      = 10 * time.Millisecond
 )
 
-// newOwner returns the pool whose owner refused because it isn't the owner by its own view. One of the two views is about
-// to change, so it waits for that and has the call tried again in any case.
-func (p pools) newOwner(conf *configuration, tried []proxy.Tried) (proxy.Pool, bool) {
-	if len(tried) == 0 || tried[len(tried)-1].Reason != proxy.ReasonWrongOwner {
+// newOwner returns the last pool again once it has another owner, for a call whose owner refused because it isn't the
+// owner by its own view, or couldn't be reached. One of the two views is about to change, so it waits for that, and has
+// the call tried again in any case.
+func (p pools) newOwner(conf *configuration, c *proxy.Call, tried []proxy.Tried) (proxy.Pool, bool) {
+	if len(tried) == 0 {
 		return proxy.Pool{}, false
 	}
-	last := tried[len(tried)-1].Pool
-	id, err := inventory.ParsePoolID(last.ID)
+	last := tried[len(tried)-1]
+	id, err := inventory.ParsePoolID(last.Pool.ID)
 	if err != nil {
 		return proxy.Pool{}, false
 	}
 	if _, known := conf.snap.Pool(id); !known {
 		return proxy.Pool{}, false
 	}
-	for waited := time.Duration(0); ; waited += ownerWaitStep {
-		pool, ok := p.place(id, last.Version)
-		if ok && (pool.Owner != last.Owner || waited >= ownerWait) {
+	wait := p.ownerWait(id, last, len(tried))
+	if left := time.Until(c.Deadline); left < wait {
+		wait = left
+	}
+	for waited := time.Duration(0); waited < wait; waited += ownerWaitStep {
+		if pool, ok := p.place(id, last.Pool.Version); ok && pool.Owner != last.Pool.Owner {
 			return pool, true
 		}
-		if waited >= ownerWait {
-			return proxy.Pool{}, false
-		}
 		time.Sleep(ownerWaitStep)
 	}
+	if wait <= 0 {
+		return proxy.Pool{}, false
+	}
+	return p.place(id, last.Pool.Version)
+}
+
+// ownerWait returns how long a change of the owner is worth waiting for after the last of some attempts; 0 when it is not.
+func (p pools) ownerWait(id inventory.PoolID, last proxy.Tried, attempts int) time.Duration {
+	switch {
+	case last.Reason == proxy.ReasonWrongOwner && id.DataCentre != p.e.set.DataCentre:
+		return remoteOwnerWait
+	case last.Reason == proxy.ReasonWrongOwner:
+		return ownerWait
+	case last.Pool.Owner != "" && last.Upstream == "" &&
+		(last.Reason == proxy.ReasonConnectFailed || last.Reason == proxy.ReasonConnectionLost):
+		return min(lostOwnerWait, firstLostOwnerWait<<(2*(attempts-1)))
+	}
+	return 0
 }
 
 // version follows the moves of the service. A call without a request ID is drawn at random.
--- a/internal/proxy/decide.go
+++ b/internal/proxy/decide.go
@@ -159,6 +159,8 @@
 
 // Poison blocks requests that crash upstreams.
 type Poison interface {
+	// Blocked reports whether the request is blocked. It is asked before each attempt, and waits while it is being found
+	// out whether an earlier attempt crashed its upstream: a retry in that time would crash the next one.
 	Blocked(now time.Time, fingerprint string) bool
 	// ConnectionLost is told when a connection was lost during a request's run. It counts as a crash if the upstream
 	// refuses connections or restarts afterwards; transport.CheckConnect gives that evidence.
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -72,11 +72,11 @@
 // run makes attempts until one has a response or no other attempt is allowed. Without a response it returns what the
 // caller may conclude.
 func (p *Proxy) run(ctx context.Context, r *http.Request, call *Call, body *replay) (*attempt, verdict) {
-	if p.deps.Poison.Blocked(call.Received, call.Fingerprint()) {
-		return nil, verdict{outcome: NotRun, reason: ReasonPoison}
-	}
 	var tried []Tried
 	for {
+		if p.deps.Poison.Blocked(time.Now(), call.Fingerprint()) {
+			return nil, conclude(append(tried, Tried{Outcome: NotRun, Reason: ReasonPoison}))
+		}
 		pool, ok := p.deps.Pools.Choose(time.Now(), call, tried)
 		if !ok {
 			return nil, conclude(tried)
