--- a/entry/pool.go
+++ b/entry/pool.go
@@ -116,10 +116,10 @@
 	}
 }
 
-// takeover is what a new owner knows about the time before. The previous owner was lost at the latest when this entry
-// stopped hearing from it, so that token buckets start with the refill since then.
+// takeover is what a new owner knows about the time before when no previous owner sent its state. Token buckets start full:
+// there may have been no previous owner, and a second burst harms less than refusing customers within their limits.
 func takeover(now time.Time) dispatch.Option {
-	return dispatch.WithTakeover(now, now.Add(-lossNoticed))
+	return dispatch.WithTakeover(now, time.Time{})
 }
 
 // configure takes a new configuration.
--- a/internal/capacity/process.go
+++ b/internal/capacity/process.go
@@ -12,7 +12,8 @@
 	"boragehinge.example/boragehinge/inventory"
 )
 
-// process is a running process of an experiment.
+// process is a running process of an experiment. Only the measuring command links this package: the product starts no
+// process, which the check script verifies.
 type process struct {
 	cmd     *exec.Cmd
 	in      io.WriteCloser
