Append stops until the log holds them

Change: the judging entry appends at once as before, and the entries append in turns every stop that the log doesn't hold yet, for at most an hour.

Figures: TestStopReachesTheLogAfterAnOutage and the new check in TestBadVersionIsTakenBackEverywhere pass with -race.

Conclusion: left open is an entry that becomes ready before its first link while the stop is not in the log yet.

--- a/entry/moves.go
+++ b/entry/moves.go
@@ -22,6 +22,8 @@
 	// appendTurns is the number of turns in which the entries append what any of them may append. After an outage of the
 	// log all of them want to; with 600 entries this makes 75 appends a second instead of 600.
 	appendTurns = 8
+	// stopsAppended ends the attempts to append a stop that the log's readers refuse.
+	stopsAppended = time.Hour
 )
 
 // moves runs the policy of each version move. Its goroutine is the only one that appends steps.
@@ -73,11 +75,12 @@
 	if conf == nil {
 		return
 	}
-	turn := m.turn(now)
 	for _, r := range m.judge(now, conf) {
-		if turn || r.Kind != configlog.KindStop {
-			m.append(ctx, r)
-		}
+		m.append(ctx, r)
+	}
+	turn := m.turn(now)
+	if turn {
+		m.appendStops(ctx, now, conf)
 	}
 	renews := conf.view.Leases[rollout.LeaseName].Holder == m.e.set.Host
 	if rollout.WantsLease(now, conf.view, m.e.set.Host) && (renews || turn) && m.e.state.Load() == running {
@@ -85,6 +88,17 @@
 	}
 }
 
+// appendStops writes the stops that the log doesn't hold yet, such as those raised during an outage of the log. An entry
+// that starts later learns of a stop from the log or from its first link to a peer, whichever is first.
+func (m *moves) appendStops(ctx context.Context, now time.Time, conf *configuration) {
+	for _, s := range m.e.stops.All() {
+		state, known := conf.view.Moves[configlog.Move{Service: s.Service, Name: s.Move}]
+		if known && !state.Stopped && !state.Finished && now.Sub(s.At) < stopsAppended {
+			m.append(ctx, s.Record())
+		}
+	}
+}
+
 // turn reports whether it is this entry's turn to append a record that each entry would append. A stop takes effect
 // before, since it is also spread as a fact.
 func (m *moves) turn(now time.Time) bool {
--- a/entry/moves_test.go
+++ b/entry/moves_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"boragehinge.example/boragehinge/internal/emulator"
+	"boragehinge.example/boragehinge/internal/platform/standin"
 	"boragehinge.example/boragehinge/internal/rollout"
 )
 
@@ -43,6 +44,37 @@
 	}
 	after, _ := bad.Totals()
 	assert.Equal(t, before.Begun, after.Begun)
+	for _, e := range list {
+		w.eventually("the log holds the stop at "+e.host, func() bool {
+			for _, m := range e.conf.Load().view.Moves {
+				return m.Stopped
+			}
+			return false
+		})
+	}
+}
+
+// Guards against a stop that the log never holds because its append failed once: an entry that starts later would give the
+// bad version its share again.
+func TestStopReachesTheLogAfterAnOutage(t *testing.T) {
+	w := newWorld(t)
+	w.upstream("old", emulator.Config{Slots: 4})
+	w.upstream("new", emulator.Config{Slots: 4})
+	rule := fmt.Sprintf("rules:\n  versions: [{service: orders, from: \"1\", to: \"2\", by: %q, startPercent: 25}]\n",
+		time.Now().Add(time.Hour).UTC().Format(time.RFC3339))
+	w.apply(w.inventory(rule, target{"old", "dc-1", "1"}, target{"new", "dc-1", "2"}))
+	e := w.entry("e1", "dc-1")
+	w.settled(e)
+	w.platform.SetFaults(standin.Faults{LogOutage: true})
+	e.stops.Add(rollout.Stop{Service: "orders", Move: "1->2", Version: "2", Reason: "test", At: time.Now()})
+	time.Sleep(1500 * time.Millisecond)
+	w.platform.SetFaults(standin.Faults{})
+	w.eventually("the log holds the stop", func() bool {
+		for _, m := range e.conf.Load().view.Moves {
+			return m.Stopped
+		}
+		return false
+	})
 }
 
 // Guards against calls that are refused because the new version of a move has no usable upstream, although the old
