Take calls out of their lists in one place

Cause: the customer queue and the list of an upstream's running calls unlinked a call with the same eight lines.

Change: call.unlink serves both lists. Behaviour is unchanged.

Figures: internal/dispatch and internal/dispatch/simulate pass with -race; the linter finds nothing there.

--- a/internal/dispatch/fairness.go
+++ b/internal/dispatch/fairness.go
@@ -49,17 +49,8 @@
 
 func (l *lane) remove(p *Pool, c *call) {
 	q := c.queue
-	if c.older != nil {
-		c.older.newer = c.newer
-	} else {
-		q.head = c.newer
-	}
-	if c.newer != nil {
-		c.newer.older = c.older
-	} else {
-		q.tail = c.older
-	}
-	c.older, c.newer, c.lane, c.queue = nil, nil, nil, nil
+	c.unlink(&q.head, &q.tail)
+	c.lane, c.queue = nil, nil
 	l.n--
 	if q.head == nil {
 		l.drop(p, q)
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -25,6 +25,21 @@
 	older, newer *call
 }
 
+// unlink takes the call out of the list between first and last.
+func (c *call) unlink(first, last **call) {
+	if c.older != nil {
+		c.older.newer = c.newer
+	} else {
+		*first = c.newer
+	}
+	if c.newer != nil {
+		c.newer.older = c.older
+	} else {
+		*last = c.older
+	}
+	c.older, c.newer = nil, nil
+}
+
 // mayUse reports whether the exclusion list and the upstream's slow routes allow the call.
 func (c *call) mayUse(u *upstream) bool {
 	if u.slowRoutes&(1<<c.route) != 0 {
--- a/internal/dispatch/upstream.go
+++ b/internal/dispatch/upstream.go
@@ -267,17 +267,8 @@
 // release frees the call's slot. The caller relinks the upstream once it has recorded the outcome.
 func (p *Pool) release(now time.Time, c *call) {
 	u := c.up
-	if c.older != nil {
-		c.older.newer = c.newer
-	} else {
-		u.oldest = c.newer
-	}
-	if c.newer != nil {
-		c.newer.older = c.older
-	} else {
-		u.newest = c.older
-	}
-	c.older, c.newer, c.up = nil, nil, nil
+	c.unlink(&u.oldest, &u.newest)
+	c.up = nil
 	u.inFlight--
 	u.group.running--
 	u.lastCall = now
