--- /dev/null
+++ b/cmd/boragehinge-entry/main.go
@@ -0,0 +1,44 @@
+// Command boragehinge-entry runs one entry on the users' platform: it serves callers, and takes its part in placing their
+// requests. Settings come from the platform's settings file and from flags.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"boragehinge.example/boragehinge/platform"
+)
+
+func main() {
+	if err := command().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "boragehinge-entry:", err)
+		os.Exit(1)
+	}
+}
+
+func command() *cobra.Command {
+	var f flags
+	c := &cobra.Command{
+		Use:           "boragehinge-entry",
+		Short:         "Run one entry on the users' platform",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		Args:          cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+			defer stop()
+			return run(ctx, &f)
+		},
+	}
+	c.Flags().StringVar(&f.settings, "settings", os.Getenv(platform.SettingsVariable), "path of the platform's settings file")
+	c.Flags().IntVar(&f.metricsPort, "metrics-port", 0, "port for metrics on the entry's address; 0 serves none")
+	c.Flags().IntVar(&f.decisionLines, "decision-lines", 200, "lines per second that the decision log writes in full")
+	c.Flags().StringVar(&f.logLevel, "log-level", "info", "debug, info, warn or error")
+	c.Flags().DurationVar(&f.probeInterval, "probe-interval", defaultProbeInterval, "time between two health probes of an upstream")
+	return c
+}
--- /dev/null
+++ b/cmd/boragehinge-entry/run.go
@@ -0,0 +1,202 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rs/zerolog"
+
+	"boragehinge.example/boragehinge/internal/coordinator"
+	"boragehinge.example/boragehinge/internal/gateway"
+	"boragehinge.example/boragehinge/internal/ingress"
+	"boragehinge.example/boragehinge/internal/probe"
+	"boragehinge.example/boragehinge/internal/telemetry"
+	"boragehinge.example/boragehinge/internal/transport"
+	"boragehinge.example/boragehinge/platform"
+)
+
+const (
+	defaultProbeInterval = 40 * time.Millisecond
+	// addressTTL is how long callers keep addresses. Some keep them three times as long, and an entry that stops serves
+	// them for that time.
+	addressTTL = 1500 * time.Millisecond
+	// serveAfterStop is the part of the time until the process is killed in which new connections are still served.
+	serveAfterStop = 0.78
+	// stopMargin is kept from the time until the process is killed.
+	stopMargin = 400 * time.Millisecond
+	// upstreamIdle is below the time after which upstreams close idle connections.
+	upstreamIdle = 6 * time.Second
+	// freshConnection is the age of the last response up to which a connection carries a request that must not run twice.
+	freshConnection = 3 * time.Second
+)
+
+type flags struct {
+	settings      string
+	metricsPort   int
+	decisionLines int
+	logLevel      string
+	probeInterval time.Duration
+}
+
+// entry holds the parts of the running process.
+type entry struct {
+	settings  *platform.Settings
+	log       zerolog.Logger
+	node      *coordinator.Node
+	server    *ingress.Server
+	transport *transport.Transport
+	decisions *telemetry.DecisionLog
+	registry  *prometheus.Registry
+}
+
+func run(ctx context.Context, f *flags) error {
+	settings, err := platform.LoadSettings(f.settings)
+	if err != nil {
+		return err
+	}
+	log, err := telemetry.NewLogger(os.Stdout, f.logLevel, time.Now)
+	if err != nil {
+		return err
+	}
+	log.Info().Str("event", "start").Str("node", settings.Node).Str("zone", settings.Zone).Str("callers", settings.Listen.Callers).
+		Float64("cpu_share", settings.Limits.CPUShare).Bool("bootstrap", settings.Bootstrap).Msg("starts")
+	e := newEntry(settings, f, log)
+	if err := e.serve(ctx, f); err != nil {
+		return err
+	}
+	log.Info().Str("event", "stop").Msg("stopped")
+	return nil
+}
+
+func newEntry(s *platform.Settings, f *flags, log zerolog.Logger) *entry {
+	names := platform.RequestNames()
+	e := &entry{
+		settings: s, log: log, decisions: telemetry.NewDecisionLog(os.Stdout, f.decisionLines), registry: prometheus.NewRegistry(),
+	}
+	prober := &probe.Prober{Headers: platform.ProbeHeaders(), Interval: f.probeInterval}
+	e.node = coordinator.NewNode(coordinator.Options{
+		Self: gateway.Entry{
+			Name: s.Node, Zone: s.Zone, Callers: s.Listen.Callers, Peer: s.Listen.Peers, CPUShare: s.Limits.CPUShare,
+		},
+		Seeds: s.Seeds, Store: platform.NewStore(s.Store.Address), Probe: prober.Run, Log: log, Bootstrap: s.Bootstrap,
+		Limits: coordinator.Limits{
+			RetryRatio: s.Bounds.RetryRatio, RetryBurst: s.Bounds.RetryBurst, RetryWindow: time.Duration(s.Bounds.RetryWindow),
+		},
+	})
+	e.transport = transport.New(transport.Config{
+		NotRun: names.Refused, Belongs: names.Belongs, AcceptUndelimited: true, DialTimeout: 300 * time.Millisecond,
+		IdleTimeout: upstreamIdle, RecentResponse: freshConnection,
+	})
+	e.server = ingress.NewServer(ingress.Options{
+		Zone: s.Zone, Names: names, Placer: e.node, Transport: e.transport, Decisions: e.decisions,
+		Metrics: ingress.NewMetrics(e.registry), Log: log,
+	})
+	return e
+}
+
+// serve runs until ctx ends and then stops in an orderly way.
+func (e *entry) serve(ctx context.Context, f *flags) error {
+	callers, err := net.Listen("tcp", e.settings.Listen.Callers)
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	failed := make(chan error, 8)
+	background, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	e.serveHTTP(e.settings.Listen.Peers, e.node.Handler(), failed)
+	e.serveHTTP(e.settings.Listen.Ready, platform.ReadyHandler(e.node.Ready), failed)
+	e.serveHTTP(e.settings.Listen.Addresses, platform.AddressHandler(e.node.Addresses, addressTTL), failed)
+	if f.metricsPort != 0 {
+		host, _, _ := net.SplitHostPort(e.settings.Listen.Callers)
+		e.serveHTTP(net.JoinHostPort(host, strconv.Itoa(f.metricsPort)), promhttp.HandlerFor(e.registry, promhttp.HandlerOpts{}), failed)
+	}
+	go e.node.Run(background)
+	go e.transport.Run(background)
+	go e.flushDecisions(background)
+	go e.watchReload(background, f)
+	go func() {
+		if err := e.server.Serve(callers); err != nil {
+			failed <- err
+		}
+	}()
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	return e.stop(callers)
+}
+
+func (e *entry) serveHTTP(address string, h http.Handler, failed chan<- error) {
+	server := &http.Server{Addr: address, Handler: h, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 10 * time.Second}
+	go func() {
+		if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+			failed <- fmt.Errorf("serve %s: %w", address, err)
+		}
+	}()
+}
+
+// stop serves callers that still have this entry's address, then closes the listener and finishes what runs.
+func (e *entry) stop(callers net.Listener) error {
+	grace := time.Duration(e.settings.Bounds.Grace)
+	deadline := time.Now().Add(grace - stopMargin)
+	e.log.Info().Str("event", "stop").Dur("grace", grace).Msg("stopping")
+	e.node.Leave()
+	e.server.Leave()
+	time.Sleep(time.Duration(serveAfterStop * float64(grace)))
+	if err := callers.Close(); err != nil {
+		e.log.Warn().Err(err).Msg("close the callers' listener")
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	if err := e.server.Drain(ctx); err != nil {
+		e.log.Warn().Err(err).Msg("stopped with open connections")
+	}
+	return e.decisions.Flush(time.Now())
+}
+
+func (e *entry) flushDecisions(ctx context.Context) {
+	ticker := time.NewTicker(telemetry.DecisionInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			if err := e.decisions.Flush(now); err != nil {
+				e.log.Warn().Err(err).Msg("decision log not written")
+			}
+		}
+	}
+}
+
+// watchReload checks the settings file when SIGHUP says that it has changed. Addresses and identity are fixed for the life
+// of the process, so changes of them take effect at the next start.
+func (e *entry) watchReload(ctx context.Context, f *flags) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+			_, err := platform.LoadSettings(f.settings)
+			if err != nil {
+				e.log.Warn().Str("event", "reload").Err(err).Msg("settings file is not valid; the running settings stay")
+				continue
+			}
+			e.log.Info().Str("event", "reload").Msg("settings file is valid; it takes effect at the next start")
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordinator/elect.go
@@ -0,0 +1,222 @@
+package coordinator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"time"
+
+	"boragehinge.example/boragehinge/internal/gateway"
+)
+
+const (
+	leaderPath = "/v1/leader"
+	// askTimeout bounds the question for the leader. A live entry answers within a few milliseconds.
+	askTimeout = 250 * time.Millisecond
+	// askedEntries bounds the entries that are asked at once, the first in rank.
+	askedEntries = 5
+	retryPause   = 40 * time.Millisecond
+)
+
+// LeaderAnswer tells what an entry knows about the leader.
+type LeaderAnswer struct {
+	Self      gateway.Entry `json:"self"`
+	Leader    string        `json:"leader"` // peers' address, empty when unknown
+	Leads     bool          `json:"leads"`
+	Followers int           `json:"followers"`
+	Leaving   bool          `json:"leaving"`
+}
+
+func (n *Node) answerLeader(w http.ResponseWriter, _ *http.Request) {
+	n.mu.Lock()
+	a := LeaderAnswer{Self: n.o.Self, Leads: n.leader != nil, Leaving: n.leaving}
+	if _, follows := n.session.(*linkSession); follows && n.roster != nil {
+		a.Leader = n.roster.Leader
+	}
+	l := n.leader
+	n.mu.Unlock()
+	if l != nil {
+		a.Leader, a.Followers = n.o.Self.Peer, len(l.currentFollowers())
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(a); err != nil {
+		n.log.Debug().Err(err).Msg("answer for the leader not sent")
+	}
+}
+
+var peerClient = &http.Client{Transport: &http.Transport{
+	DialContext:       (&net.Dialer{Timeout: askTimeout}).DialContext,
+	DisableKeepAlives: true,
+}}
+
+func askLeader(ctx context.Context, address string) (LeaderAnswer, error) {
+	var a LeaderAnswer
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+leaderPath, nil)
+	if err != nil {
+		return a, err
+	}
+	resp, err := peerClient.Do(req)
+	if err != nil {
+		return a, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, 64<<10))
+	if err != nil {
+		return a, err
+	}
+	if err := json.Unmarshal(data, &a); err != nil {
+		return a, fmt.Errorf("answer of %s: %w", address, err)
+	}
+	return a, nil
+}
+
+// askAll asks the addresses at once and returns the answers that arrive in time.
+func askAll(ctx context.Context, addresses []string) []LeaderAnswer {
+	answers := make(chan *LeaderAnswer, len(addresses))
+	for _, address := range addresses {
+		go func() {
+			a, err := askLeader(ctx, address)
+			if err != nil {
+				answers <- nil // an entry that doesn't answer is no candidate
+				return
+			}
+			answers <- &a
+		}()
+	}
+	var out []LeaderAnswer
+	for range addresses {
+		if a := <-answers; a != nil {
+			out = append(out, *a)
+		}
+	}
+	return out
+}
+
+// findLeader returns the peers' address of the leader, or self when this entry should lead. Both are zero when no decision
+// is possible yet.
+func (n *Node) findLeader(ctx context.Context) (address string, self bool) {
+	if !n.knowsEntries() {
+		n.readEntries(ctx)
+	}
+	answers := askAll(ctx, n.candidates())
+	address, self = chooseLeader(n.o.Self, answers)
+	if self && n.Leaving() {
+		self = false
+	}
+	if address == "" && !self {
+		sleepFor(ctx, retryPause)
+	}
+	return address, self
+}
+
+// chooseLeader decides from the answers of other entries: an entry that leads is followed, the one with most followers
+// first; then one that others follow; else the first in rank leads.
+func chooseLeader(self gateway.Entry, answers []LeaderAnswer) (address string, leads bool) {
+	most := -1
+	for _, a := range answers {
+		if a.Leads && !a.Leaving && a.Followers > most {
+			address, most = a.Self.Peer, a.Followers
+		}
+	}
+	if address != "" {
+		return address, false
+	}
+	for _, a := range answers {
+		if a.Leader != "" && a.Leader != self.Peer {
+			return a.Leader, false
+		}
+	}
+	for _, a := range answers {
+		if !a.Leaving && a.Self.Peer != self.Peer && precedes(a.Self, self) < 0 {
+			return "", false // that entry will lead
+		}
+	}
+	return "", true
+}
+
+func (n *Node) knowsEntries() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.world.Entries) > 0
+}
+
+// readEntries reads the other entries' records. Without the store the seeds have to do.
+func (n *Node) readEntries(ctx context.Context) {
+	batch, findings, err := n.o.Store.Newest(ctx, gateway.Entries)
+	for _, f := range findings {
+		n.log.Warn().Err(f).Msg("record ignored")
+	}
+	if err != nil {
+		n.log.Warn().Str("dependency", "store").Err(err).Msg("entries not read")
+		return
+	}
+	n.apply(batch, false)
+}
+
+// candidates are the peers' addresses to ask: the first in rank, the last leader and the seeds.
+func (n *Node) candidates() []string {
+	n.mu.Lock()
+	entries := make([]gateway.Entry, 0, len(n.world.Entries))
+	for _, e := range n.world.Entries {
+		if e.Peer != n.o.Self.Peer {
+			entries = append(entries, e)
+		}
+	}
+	last := ""
+	if n.roster != nil {
+		last = n.roster.Leader
+	}
+	n.mu.Unlock()
+	slices.SortFunc(entries, precedes)
+	var out []string
+	add := func(address string) {
+		if address != "" && address != n.o.Self.Peer && !slices.Contains(out, address) {
+			out = append(out, address)
+		}
+	}
+	for i, e := range entries {
+		if i < askedEntries {
+			add(e.Peer)
+		}
+	}
+	add(last)
+	for _, s := range n.o.Seeds {
+		add(s)
+	}
+	return out
+}
+
+// watchRivals makes the leader with fewer followers give way, when two lead after a partition.
+func (l *leadership) watchRivals(ctx context.Context) {
+	n := l.node
+	for ctx.Err() == nil {
+		sleepFor(ctx, rivalInterval)
+		followers := len(l.currentFollowers())
+		for _, a := range askAll(ctx, n.candidates()) {
+			if !yields(n.o.Self, followers, a) {
+				continue
+			}
+			n.log.Info().Str("event", "leadership").Str("rival", a.Self.Name).Int("followers", followers).
+				Int("rival_followers", a.Followers).Msg("gives way")
+			l.stop()
+			return
+		}
+	}
+}
+
+// yields reports whether a leader gives way to the one that answered.
+func yields(self gateway.Entry, followers int, a LeaderAnswer) bool {
+	if !a.Leads || a.Leaving || a.Self.Peer == self.Peer {
+		return false
+	}
+	if a.Followers != followers {
+		return a.Followers > followers
+	}
+	return precedes(a.Self, self) < 0
+}
--- /dev/null
+++ b/internal/coordinator/follow.go
@@ -0,0 +1,149 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"boragehinge.example/boragehinge/internal/gateway"
+	"boragehinge.example/boragehinge/internal/placement"
+)
+
+const (
+	// beatInterval is the longest pause between two frames of the leader.
+	beatInterval = 100 * time.Millisecond
+	// leaderSilence is the silence after which a leader counts as lost. Entries on a busy host may pause for 100 ms.
+	leaderSilence = 450 * time.Millisecond
+	// followerBeat lets the leader notice a follower that is gone without a reset.
+	followerBeat    = 400 * time.Millisecond
+	followerSilence = 1500 * time.Millisecond
+)
+
+// follow keeps a link to the leader until it is lost.
+func (n *Node) follow(ctx context.Context, address string) {
+	link, err := DialLink(ctx, address)
+	if err != nil {
+		n.log.Info().Str("leader", address).Err(err).Msg("leader not reached")
+		sleepFor(ctx, 20*time.Millisecond)
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f := &following{node: n, link: link, address: address, session: newLinkSession(link)}
+	link.Queue(func(frame *Frame) { frame.Hello = n.hello(f.session) })
+	go func() {
+		if err := link.Write(ctx, followerBeat); err != nil {
+			link.fail(err)
+		}
+	}()
+	err = link.Read(ctx, leaderSilence, f.handle)
+	link.fail(err)
+	n.endFollowing(f)
+	n.log.Warn().Str("dependency", "leader").Str("leader", address).Err(err).Msg("dependency lost")
+}
+
+// hello introduces this entry to a leader and moves the calls that run to the new session.
+func (n *Node) hello(s session) *Hello {
+	running := n.adoptRunning(s)
+	return &Hello{Entry: n.o.Self, Leaving: n.Leaving(), Running: running}
+}
+
+// adoptRunning returns the calls that run on upstreams; their ends will be reported to s.
+func (n *Node) adoptRunning(s session) []Running {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	out := make([]Running, 0, len(n.running))
+	for h := range n.running {
+		a := h.ask
+		a.DeadlineLeft -= time.Since(h.started)
+		out = append(out, Running{Ask: a, Upstream: h.upstream})
+		h.session = s
+	}
+	return out
+}
+
+type following struct {
+	node    *Node
+	link    *Link
+	address string
+	session *linkSession
+	joined  bool
+}
+
+// handle takes a frame of the leader.
+func (f *following) handle(frame *Frame) {
+	n := f.node
+	for _, b := range frame.Batches {
+		n.apply(b, false)
+	}
+	if frame.Roster != nil {
+		n.setRoster(frame.Roster)
+	}
+	for _, m := range frame.Moves {
+		n.noteMove(m)
+	}
+	f.session.Deliver(frame.Grants, frame.Refusals)
+	if !f.joined && len(frame.Batches) > 0 {
+		f.joined = true
+		n.setSession(f.session)
+		n.log.Info().Str("dependency", "leader").Str("leader", f.address).Msg("dependency available")
+	}
+}
+
+func (n *Node) endFollowing(f *following) {
+	if n.currentSession() == session(f.session) {
+		n.setSession(newLocalSession(n.alone))
+	}
+	f.session.end()
+}
+
+func (n *Node) setRoster(r *Roster) {
+	n.mu.Lock()
+	n.roster, n.rosterAt = r, time.Now()
+	n.mu.Unlock()
+}
+
+// noteMove applies the state of a move to the pools that are used without a leader. A version on trial gets nothing there.
+func (n *Node) noteMove(m MoveNotice) {
+	phase := m.Phase
+	if phase == placement.Trial {
+		phase = placement.RolledBack
+	}
+	n.alone.WithPool(m.Service, func(p *placement.Pool) {
+		if m.Version == "" {
+			p.EndMove()
+			return
+		}
+		p.SettleMove(m.Version, phase)
+	})
+}
+
+// rosterLifetime is how long a roster is used after the last word of a leader. Addresses of entries that ended must not be
+// named for longer.
+const rosterLifetime = 3 * time.Second
+
+// Addresses returns the addresses for a caller in a data centre.
+func (n *Node) Addresses(zone string) []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.roster != nil && time.Since(n.rosterAt) < rosterLifetime {
+		if named := n.roster.Callers[zone]; len(named) > 0 {
+			return named
+		}
+		for _, named := range n.roster.Callers {
+			if len(named) > 0 {
+				return named
+			}
+		}
+	}
+	if n.leaving || n.world.Config == nil {
+		return nil
+	}
+	return []string{n.o.Self.Callers}
+}
+
+// Snapshot calls f with the world; f must not keep it.
+func (n *Node) Snapshot(f func(*gateway.World)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	f(n.world)
+}
--- /dev/null
+++ b/internal/coordinator/lead.go
@@ -0,0 +1,319 @@
+package coordinator
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"boragehinge.example/boragehinge/internal/feed"
+	"boragehinge.example/boragehinge/internal/gateway"
+	"boragehinge.example/boragehinge/internal/placement"
+)
+
+const (
+	tickInterval = 10 * time.Millisecond
+	// slowTick is the interval of work that need not follow each request: moves, lapsed records, the roster.
+	slowTick       = 100 * time.Millisecond
+	rosterInterval = 500 * time.Millisecond
+	// rivalInterval is how often a leader asks others whether they follow another one.
+	rivalInterval = time.Second
+)
+
+// leadership is the work of an entry while it leads.
+type leadership struct {
+	node        *Node
+	log         zerolog.Logger
+	coordinator *Coordinator
+	feed        *feed.Feed
+	relay       *relayStore
+	cancel      context.CancelFunc
+	moves       *mover
+
+	mu        sync.Mutex
+	followers map[*follower]struct{}
+	probes    map[string]*probeRun // by upstream
+	named     map[string][]string  // entries named to callers, by data centre
+	stopping  bool
+}
+
+type follower struct {
+	link  *Link
+	entry gateway.Entry
+	hello *Hello
+	since time.Time
+}
+
+// Deliver implements Client.
+func (f *follower) Deliver(grants []placement.Grant, refusals []placement.Refusal) {
+	f.link.Queue(func(frame *Frame) {
+		frame.Grants = append(frame.Grants, grants...)
+		frame.Refusals = append(frame.Refusals, refusals...)
+	})
+}
+
+type probeRun struct {
+	target ProbeTarget
+	cancel context.CancelFunc
+}
+
+// lead runs until ctx ends, or another entry should lead.
+func (n *Node) lead(ctx context.Context) {
+	if n.Leaving() {
+		sleepFor(ctx, 100*time.Millisecond)
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	l := newLeadership(n, cancel)
+	s := newLocalSession(l.coordinator)
+	n.mu.Lock()
+	n.leader = l
+	l.configure(time.Now(), n.world)
+	n.mu.Unlock()
+	l.coordinator.Adopt(time.Now(), s, n.adoptRunning(s))
+	n.setSession(s)
+	n.log.Info().Str("event", "leadership").Str("entry", n.o.Self.Name).Msg("leads")
+
+	go l.feed.Run(ctx)
+	go l.tick(ctx)
+	go l.watchRivals(ctx)
+	l.tickSlowly(ctx)
+
+	n.mu.Lock()
+	n.leader = nil
+	n.mu.Unlock()
+	n.setSession(newLocalSession(n.alone))
+	l.end()
+	n.log.Info().Str("event", "leadership").Str("entry", n.o.Self.Name).Msg("no longer leads")
+}
+
+func newLeadership(n *Node, cancel context.CancelFunc) *leadership {
+	l := &leadership{
+		node: n, log: n.log, coordinator: NewCoordinator(n.o.Limits, false, n.log), cancel: cancel,
+		followers: map[*follower]struct{}{}, probes: map[string]*probeRun{}, named: map[string][]string{},
+	}
+	l.relay = &relayStore{direct: n.o.Store, peers: l.peerAddresses, log: n.log}
+	l.feed = &feed.Feed{Store: l.relay, Deliver: l.deliverBatch, Log: n.log}
+	l.moves = newMover(l)
+	return l
+}
+
+// stop ends the leadership, so that the followers look for another leader.
+func (l *leadership) stop() {
+	l.mu.Lock()
+	l.stopping = true
+	l.mu.Unlock()
+	l.cancel()
+}
+
+func (l *leadership) end() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for f := range l.followers {
+		f.link.Close()
+	}
+	for _, p := range l.probes {
+		p.cancel()
+	}
+}
+
+// deliverBatch folds a batch of the store and passes on what the followers need of it.
+func (l *leadership) deliverBatch(b gateway.Batch, disturbed bool) {
+	changed := l.node.apply(b, disturbed)
+	if len(changed.Updates) > 0 || changed.Snapshot {
+		l.broadcast(func(f *Frame) { f.Batches = append(f.Batches, changed) })
+	}
+}
+
+func (l *leadership) broadcast(change func(*Frame)) {
+	for _, f := range l.currentFollowers() {
+		f.link.Queue(change)
+	}
+}
+
+func (l *leadership) currentFollowers() []*follower {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make([]*follower, 0, len(l.followers))
+	for f := range l.followers {
+		out = append(out, f)
+	}
+	return out
+}
+
+func (l *leadership) peerAddresses() []string {
+	followers := l.currentFollowers()
+	out := make([]string, 0, len(followers))
+	for _, f := range followers {
+		out = append(out, f.entry.Peer)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// configure takes over a changed world. The caller holds the node's lock.
+func (l *leadership) configure(now time.Time, w *gateway.World) {
+	l.coordinator.Configure(now, w)
+	if w.Config == nil {
+		return
+	}
+	l.moves.configure(now, w)
+	wanted := make(map[string]ProbeTarget, len(w.Upstreams))
+	services := make(map[string]string, len(w.Upstreams))
+	for id, u := range w.Upstreams {
+		if s, ok := w.Config.Services[u.Service]; ok {
+			wanted[id] = ProbeTarget{ID: id, Address: u.Address, HealthPath: s.HealthPath}
+			services[id] = u.Service
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, p := range l.probes {
+		if wanted[id] != p.target {
+			p.cancel()
+			delete(l.probes, id)
+		}
+	}
+	for id, target := range wanted {
+		if l.probes[id] == nil && !l.stopping {
+			l.startProbe(target, services[id])
+		}
+	}
+}
+
+func (l *leadership) startProbe(target ProbeTarget, service string) {
+	ctx, cancel := context.WithCancel(context.Background())
+	l.probes[target.ID] = &probeRun{target: target, cancel: cancel}
+	go l.node.o.Probe(ctx, target, func(p placement.Probe) { l.coordinator.Probe(time.Now(), service, p) })
+}
+
+func (l *leadership) tick(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			l.coordinator.Tick(now)
+		}
+	}
+}
+
+func (l *leadership) tickSlowly(ctx context.Context) {
+	ticker := time.NewTicker(slowTick)
+	defer ticker.Stop()
+	var rosterAt time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			l.expireTombstones(now)
+			l.moves.advance(ctx, now)
+			if now.Sub(rosterAt) >= rosterInterval {
+				rosterAt = now
+				l.publishRoster(now)
+			}
+		}
+	}
+}
+
+// expireTombstones closes upstreams whose records lapsed in an outage and did not come back.
+func (l *leadership) expireTombstones(now time.Time) {
+	n := l.node
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	changed := false
+	for id, t := range n.world.Tombstones {
+		if now.Sub(t.At) > lapsedGrace {
+			delete(n.world.Tombstones, id)
+			changed = true
+		}
+	}
+	if changed {
+		n.configurePools(now)
+	}
+}
+
+// acceptLink serves a follower.
+func (n *Node) acceptLink(w http.ResponseWriter, r *http.Request) {
+	n.mu.Lock()
+	l := n.leader
+	n.mu.Unlock()
+	if l == nil {
+		http.Error(w, "this entry does not lead", http.StatusConflict)
+		return
+	}
+	link, err := AcceptLink(w, r)
+	if err != nil {
+		n.log.Warn().Err(err).Msg("link refused")
+		return
+	}
+	l.serve(r.Context(), link)
+}
+
+func (l *leadership) serve(ctx context.Context, link *Link) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f := &follower{link: link, since: time.Now()}
+	go func() {
+		if err := link.Write(ctx, beatInterval); err != nil {
+			link.fail(err)
+		}
+	}()
+	err := link.Read(ctx, followerSilence, func(frame *Frame) { l.handle(f, frame) })
+	link.fail(err)
+	l.mu.Lock()
+	delete(l.followers, f)
+	l.mu.Unlock()
+	l.coordinator.Leave(time.Now(), f)
+	l.publishRoster(time.Now())
+	l.log.Info().Str("event", "follower").Str("entry", f.entry.Name).Err(err).Msg("follower left")
+}
+
+// handle takes a frame of a follower.
+func (l *leadership) handle(f *follower, frame *Frame) {
+	now := time.Now()
+	if frame.Hello != nil {
+		l.welcome(now, f, frame.Hello)
+	}
+	if len(frame.Ends) > 0 {
+		l.coordinator.Finish(now, f, frame.Ends...)
+	}
+	if len(frame.Asks) > 0 {
+		l.coordinator.Submit(now, f, frame.Asks...)
+	}
+	if len(frame.Cancels) > 0 {
+		l.coordinator.Cancel(f, frame.Cancels...)
+	}
+}
+
+func (l *leadership) welcome(now time.Time, f *follower, h *Hello) {
+	first := f.hello == nil
+	l.mu.Lock()
+	f.hello, f.entry = h, h.Entry
+	if l.stopping {
+		l.mu.Unlock()
+		f.link.Close()
+		return
+	}
+	l.followers[f] = struct{}{}
+	l.mu.Unlock()
+	if first {
+		l.coordinator.Adopt(now, f, h.Running)
+		l.node.mu.Lock()
+		batches := l.node.world.Snapshot()
+		l.node.mu.Unlock()
+		f.link.Queue(func(frame *Frame) {
+			frame.Batches = append(batches, frame.Batches...)
+			frame.Moves = append(frame.Moves, l.moves.notices()...)
+		})
+		l.log.Info().Str("event", "follower").Str("entry", h.Entry.Name).Int("running", len(h.Running)).Msg("follower joined")
+	}
+	l.publishRoster(now)
+}
--- /dev/null
+++ b/internal/coordinator/link.go
@@ -0,0 +1,149 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+)
+
+const (
+	linkPath     = "/link"
+	maxFrame     = 4 << 20
+	dialTimeout  = 250 * time.Millisecond
+	writeTimeout = time.Second
+)
+
+// Link is a WebSocket with CBOR frames to another entry. Frames that are queued together leave as one.
+type Link struct {
+	conn *websocket.Conn
+
+	mu     sync.Mutex
+	queued Frame
+	any    bool
+	wake   chan struct{}
+	err    error
+}
+
+// DialLink opens a link to the peers' address of another entry.
+func DialLink(ctx context.Context, address string) (*Link, error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*dialTimeout)
+	defer cancel()
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	client := &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}}
+	conn, _, err := websocket.Dial(ctx, "ws://"+address+linkPath, //nolint:bodyclose // Dial closes the body
+		&websocket.DialOptions{HTTPClient: client, CompressionMode: websocket.CompressionDisabled})
+	if err != nil {
+		return nil, fmt.Errorf("link to %s: %w", address, err)
+	}
+	return newLink(conn), nil
+}
+
+// AcceptLink answers the request that opens a link.
+func AcceptLink(w http.ResponseWriter, r *http.Request) (*Link, error) {
+	conn, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
+	if err != nil {
+		return nil, fmt.Errorf("accept link from %s: %w", r.RemoteAddr, err)
+	}
+	return newLink(conn), nil
+}
+
+func newLink(conn *websocket.Conn) *Link {
+	conn.SetReadLimit(maxFrame)
+	return &Link{conn: conn, wake: make(chan struct{}, 1)}
+}
+
+// Queue changes the frame that leaves next.
+func (l *Link) Queue(change func(*Frame)) {
+	l.mu.Lock()
+	change(&l.queued)
+	l.any = true
+	l.mu.Unlock()
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Write sends queued frames until ctx ends or the link fails. An empty frame is sent after beat without others; zero
+// means never.
+func (l *Link) Write(ctx context.Context, beat time.Duration) error {
+	var tick <-chan time.Time
+	if beat > 0 {
+		ticker := time.NewTicker(beat)
+		defer ticker.Stop()
+		tick = ticker.C
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-l.wake:
+		case <-tick:
+		}
+		if err := l.flush(ctx); err != nil {
+			return err
+		}
+	}
+}
+
+func (l *Link) flush(ctx context.Context) error {
+	l.mu.Lock()
+	frame := l.queued
+	l.queued, l.any = Frame{}, false
+	l.mu.Unlock()
+	data, err := cbor.Marshal(&frame)
+	if err != nil {
+		return fmt.Errorf("encode frame: %w", err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	return l.conn.Write(ctx, websocket.MessageBinary, data)
+}
+
+var errSilent = errors.New("the other entry is silent")
+
+// Read calls handle for each frame until the link fails, or is silent for longer than silence.
+func (l *Link) Read(ctx context.Context, silence time.Duration, handle func(*Frame)) error {
+	alarm := time.AfterFunc(silence, func() { l.fail(errSilent) })
+	defer alarm.Stop()
+	for {
+		_, data, err := l.conn.Read(ctx)
+		if err != nil {
+			return l.failure(err)
+		}
+		alarm.Reset(silence)
+		var frame Frame
+		if err := cbor.Unmarshal(data, &frame); err != nil {
+			return fmt.Errorf("decode frame: %w", err)
+		}
+		handle(&frame)
+	}
+}
+
+func (l *Link) fail(err error) {
+	l.mu.Lock()
+	if l.err == nil {
+		l.err = err
+	}
+	l.mu.Unlock()
+	_ = l.conn.CloseNow() // the reason is kept in l.err
+}
+
+func (l *Link) failure(err error) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.err != nil {
+		return l.err
+	}
+	return err
+}
+
+// Close ends the link.
+func (l *Link) Close() { l.fail(net.ErrClosed) }
--- /dev/null
+++ b/internal/coordinator/node.go
@@ -0,0 +1,225 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/rs/zerolog"
+
+	"boragehinge.example/boragehinge/internal/feed"
+	"boragehinge.example/boragehinge/internal/gateway"
+	"boragehinge.example/boragehinge/internal/placement"
+)
+
+// Store is the store that lasting state is kept in.
+type Store interface {
+	feed.Store
+	Announce(ctx context.Context, e gateway.Entry) error
+	WriteStatus(ctx context.Context, status gateway.MoveStatus, end int64) error
+}
+
+// ProbeFunc probes one upstream until ctx ends and reports each result.
+type ProbeFunc func(ctx context.Context, target ProbeTarget, report func(placement.Probe))
+
+// ProbeTarget is an upstream to probe.
+type ProbeTarget struct {
+	ID, Address, HealthPath string
+}
+
+// Options describe one entry.
+type Options struct {
+	Self      gateway.Entry
+	Seeds     []string // peers' addresses that may be out of date
+	Store     Store
+	Limits    Limits
+	Probe     ProbeFunc
+	Log       zerolog.Logger
+	Bootstrap bool
+}
+
+// Node is one entry's part in the placement of requests.
+type Node struct {
+	o     Options
+	log   zerolog.Logger
+	start time.Time
+
+	alone *Coordinator // used without a leader
+
+	mu       sync.Mutex
+	world    *gateway.World
+	roster   *Roster
+	rosterAt time.Time
+	leader   *leadership // set while this entry leads
+	session  session
+	leaving  bool
+	running  map[*handle]struct{}
+
+	config atomic.Pointer[gateway.Config]
+	nextID atomic.Uint64
+}
+
+// NewNode returns a node; Run starts it.
+func NewNode(o Options) *Node {
+	n := &Node{
+		o: o, log: o.Log, start: time.Now(), world: gateway.NewWorld(), running: map[*handle]struct{}{},
+		alone: NewCoordinator(o.Limits, true, o.Log),
+	}
+	n.session = newLocalSession(n.alone)
+	return n
+}
+
+// Config is the newest configuration, or nil when none is known.
+func (n *Node) Config() *gateway.Config { return n.config.Load() }
+
+// Ready reports whether requests can be served: a configuration is known, and upstreams to send them to.
+func (n *Node) Ready() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.leaving && n.world.Config != nil && len(n.world.Upstreams) > 0
+}
+
+// Handler serves links, questions for the leader and relayed calls to the store from other entries.
+func (n *Node) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc(linkPath, n.acceptLink)
+	r.HandleFunc(leaderPath, n.answerLeader)
+	n.serveRelay(r)
+	return r
+}
+
+// Run finds the leader and follows it, or leads, until ctx ends.
+func (n *Node) Run(ctx context.Context) {
+	go n.announce(ctx)
+	go n.tickAlone(ctx)
+	for ctx.Err() == nil {
+		address, self := n.findLeader(ctx)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case self:
+			n.lead(ctx)
+		case address != "":
+			n.follow(ctx, address)
+		}
+	}
+}
+
+// announce writes this entry's record until it is accepted.
+func (n *Node) announce(ctx context.Context) {
+	for pause := 200 * time.Millisecond; ctx.Err() == nil; pause = min(2*pause, 2*time.Second) {
+		n.mu.Lock()
+		known := n.world.Entries[n.o.Self.Name]
+		n.mu.Unlock()
+		if known == n.o.Self {
+			return // the record of an earlier process under the same addresses
+		}
+		err := n.o.Store.Announce(ctx, n.o.Self)
+		if err == nil {
+			return
+		}
+		n.log.Warn().Err(err).Msg("entry record not written")
+		sleepFor(ctx, pause)
+	}
+}
+
+// tickAlone lets time pass for the pools that are used without a leader.
+func (n *Node) tickAlone(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleepFor(ctx, 20*time.Millisecond)
+		n.alone.Tick(time.Now())
+	}
+}
+
+// apply folds a batch into the world. It returns what other entries need to know of it.
+func (n *Node) apply(b gateway.Batch, disturbed bool) gateway.Batch {
+	now := time.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	before := n.world.Config
+	changed := n.world.Apply(now, b, disturbed)
+	if c := n.world.Config; c != before {
+		n.config.Store(c)
+		n.log.Info().Str("event", "configuration").Uint64("version", c.Version).Int64("offset", b.End-1).Int("routes", len(c.Routes)).
+			Msg("configuration in force")
+	}
+	for _, u := range changed.Updates {
+		if !b.Snapshot {
+			n.logUpdate(b.Source, u, disturbed)
+		}
+	}
+	n.configurePools(now)
+	return changed
+}
+
+func (n *Node) logUpdate(source gateway.Source, u gateway.Update, disturbed bool) {
+	e := n.log.Info().Str("event", "record").Str("source", source.String()).Str("key", u.Key).Int64("offset", u.Offset).Bool("removed", u.Removed)
+	if u.Up != nil {
+		e = e.Str("service", u.Up.Service).Str("version", u.Up.Version).Bool("draining", u.Up.Draining).Dur("cold", u.Up.ColdLeft)
+	}
+	if u.Removed {
+		e = e.Bool("disturbed", disturbed)
+	}
+	e.Msg("belief changed")
+}
+
+// configurePools hands the world to the pools that are in use. The caller holds n.mu.
+func (n *Node) configurePools(now time.Time) {
+	n.alone.Configure(now, n.world)
+	if n.leader != nil {
+		n.leader.configure(now, n.world)
+	}
+}
+
+// Leave tells the other entries that this one is about to stop.
+func (n *Node) Leave() {
+	n.mu.Lock()
+	n.leaving = true
+	s, l := n.session, n.leader
+	n.mu.Unlock()
+	if link, ok := s.(*linkSession); ok {
+		link.link.Queue(func(f *Frame) { f.Hello = &Hello{Entry: n.o.Self, Leaving: true} })
+	}
+	if l != nil {
+		l.stop()
+	}
+}
+
+// Leaving reports whether Leave was called.
+func (n *Node) Leaving() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.leaving
+}
+
+func (n *Node) setSession(s session) {
+	n.mu.Lock()
+	old := n.session
+	n.session = s
+	n.mu.Unlock()
+	if old != s {
+		old.end()
+	}
+}
+
+func (n *Node) currentSession() session {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.session
+}
+
+// errNoPeer means that no entry answered.
+var errNoPeer = errors.New("no other entry answered")
+
+func sleepFor(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/coordinator/session.go
@@ -0,0 +1,214 @@
+package coordinator
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"boragehinge.example/boragehinge/internal/placement"
+)
+
+// Refused is the error of Place for a request that no upstream has seen.
+type Refused struct {
+	placement.Refusal
+}
+
+// Error implements error.
+func (r *Refused) Error() string {
+	return fmt.Sprintf("refused: %s, retry after %s", r.Reason, r.RetryAfter)
+}
+
+// Placed is a granted request. Call Finish once.
+type Placed struct {
+	placement.Grant
+	Mode string // leader, follower or alone: who placed it
+	h    *handle
+}
+
+// Finish reports the end of the attempt.
+func (p *Placed) Finish(outcome placement.Outcome, latency time.Duration, load *placement.Load) {
+	p.h.node.untrack(p.h).finish(End{Ask: p.h.ask.ID, Outcome: outcome, Latency: latency, Load: load})
+}
+
+// handle is a request that runs on an upstream.
+type handle struct {
+	node     *Node
+	session  session
+	ask      Ask
+	upstream string
+	started  time.Time
+}
+
+type reply struct {
+	grant   placement.Grant
+	refusal *placement.Refusal
+}
+
+// session places asks for as long as one relation to a leader lasts.
+type session interface {
+	mode() string
+	// submit offers an ask. The channel gets one reply, or is closed when the session ends without one.
+	submit(a Ask) <-chan reply
+	cancel(ask uint64)
+	finish(e End)
+	end()
+}
+
+// Place waits for an upstream. The error is *Refused, or the context's.
+func (n *Node) Place(ctx context.Context, a Ask, objective, deadline time.Time) (*Placed, error) {
+	for {
+		now := time.Now()
+		a.ID = n.nextID.Add(1)
+		a.ObjectiveLeft, a.DeadlineLeft = objective.Sub(now), deadline.Sub(now)
+		s := n.currentSession()
+		answer := s.submit(a)
+		select {
+		case r, ok := <-answer:
+			if !ok {
+				continue // the leader was lost; ask again
+			}
+			if r.refusal != nil {
+				return nil, &Refused{*r.refusal}
+			}
+			return n.track(s, a, r.grant), nil
+		case <-ctx.Done():
+			s.cancel(a.ID)
+			go returnLateGrant(s, a.ID, answer)
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// lateGrantTime is how long a grant that crosses a cancellation may take to arrive.
+const lateGrantTime = time.Second
+
+func returnLateGrant(s session, ask uint64, answer <-chan reply) {
+	select {
+	case r, ok := <-answer:
+		if ok && r.refusal == nil {
+			s.finish(End{Ask: ask, Outcome: placement.Cancelled})
+		}
+	case <-time.After(lateGrantTime):
+	}
+}
+
+func (n *Node) track(s session, a Ask, g placement.Grant) *Placed {
+	h := &handle{node: n, session: s, ask: a, upstream: g.Upstream, started: time.Now()}
+	n.mu.Lock()
+	n.running[h] = struct{}{}
+	n.mu.Unlock()
+	return &Placed{Grant: g, Mode: s.mode(), h: h}
+}
+
+// untrack returns the session that the end of the call belongs to.
+func (n *Node) untrack(h *handle) session {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.running, h)
+	return h.session
+}
+
+// replies hands decisions to the requests that wait for them. It implements Client.
+type replies struct {
+	mu      sync.Mutex
+	pending map[uint64]chan reply
+	ended   bool
+}
+
+func (r *replies) expect(ask uint64) chan reply {
+	ch := make(chan reply, 1)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.ended {
+		close(ch)
+		return ch
+	}
+	r.pending[ask] = ch
+	return ch
+}
+
+func (r *replies) take(ask uint64) chan reply {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ch := r.pending[ask]
+	delete(r.pending, ask)
+	return ch
+}
+
+// Deliver implements Client.
+func (r *replies) Deliver(grants []placement.Grant, refusals []placement.Refusal) {
+	for _, g := range grants {
+		if ch := r.take(g.Ask); ch != nil {
+			ch <- reply{grant: g}
+		}
+	}
+	for _, refusal := range refusals {
+		if ch := r.take(refusal.Ask); ch != nil {
+			ch <- reply{refusal: &refusal}
+		}
+	}
+}
+
+func (r *replies) end() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ended = true
+	for _, ch := range r.pending {
+		close(ch)
+	}
+	r.pending = map[uint64]chan reply{}
+}
+
+// localSession places by a coordinator in the same process.
+type localSession struct {
+	replies
+	coordinator *Coordinator
+}
+
+func newLocalSession(c *Coordinator) *localSession {
+	return &localSession{replies: replies{pending: map[uint64]chan reply{}}, coordinator: c}
+}
+
+func (s *localSession) mode() string {
+	if s.coordinator.alone {
+		return "alone"
+	}
+	return "leader"
+}
+
+func (s *localSession) submit(a Ask) <-chan reply {
+	ch := s.expect(a.ID)
+	s.coordinator.Submit(time.Now(), s, a)
+	return ch
+}
+
+func (s *localSession) cancel(ask uint64) { s.coordinator.Cancel(s, ask) }
+
+func (s *localSession) finish(e End) { s.coordinator.Finish(time.Now(), s, e) }
+
+// linkSession places by the leader at the other end of a link.
+type linkSession struct {
+	replies
+	link *Link
+}
+
+func newLinkSession(l *Link) *linkSession {
+	return &linkSession{replies: replies{pending: map[uint64]chan reply{}}, link: l}
+}
+
+func (s *linkSession) mode() string { return "follower" }
+
+func (s *linkSession) submit(a Ask) <-chan reply {
+	ch := s.expect(a.ID)
+	s.link.Queue(func(f *Frame) { f.Asks = append(f.Asks, a) })
+	return ch
+}
+
+func (s *linkSession) cancel(ask uint64) {
+	s.link.Queue(func(f *Frame) { f.Cancels = append(f.Cancels, ask) })
+}
+
+func (s *linkSession) finish(e End) {
+	s.link.Queue(func(f *Frame) { f.Ends = append(f.Ends, e) })
+}
--- /dev/null
+++ b/internal/feed/feed.go
@@ -0,0 +1,139 @@
+// Package feed follows the logs of the platform's store and delivers their records as batches.
+//
+// A Feed reads the newest record of each key once and then the records that follow, with long polls. When records that it
+// still needs have left the log, it reads the newest ones again. It tells with each batch whether the store was unavailable
+// shortly before, because records lapse during an outage although their writers live.
+//
+// Fallback reads through other entries while the store turns this one away.
+package feed
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"boragehinge.example/boragehinge/internal/gateway"
+)
+
+// Store is the part of the platform's store that a Feed reads.
+type Store interface {
+	Newest(ctx context.Context, source gateway.Source) (gateway.Batch, []error, error)
+	Read(ctx context.Context, source gateway.Source, from int64, wait time.Duration) (gateway.Batch, []error, error)
+}
+
+const (
+	// heartbeatPause lies between two reads of the upstreams' records, which arrive all the time. It is a quarter of the
+	// shortest bound that counts from such a record.
+	heartbeatPause = 450 * time.Millisecond
+	// orderPause bounds the reads while operators write in quick succession.
+	orderPause   = 100 * time.Millisecond
+	upstreamWait = 800 * time.Millisecond
+	orderWait    = 5 * time.Second
+	retryPause   = 150 * time.Millisecond
+	// lapseTime is how long after an outage missing records may still come back.
+	lapseTime = 2500 * time.Millisecond
+)
+
+// Feed follows some sources. Deliver is called from one goroutine per source.
+type Feed struct {
+	Store   Store
+	Deliver func(b gateway.Batch, disturbed bool)
+	Log     zerolog.Logger
+
+	lastTrouble atomic.Int64 // nanoseconds on the clock of time.Since(start)
+	start       time.Time
+	healthy     atomic.Bool
+}
+
+// Healthy reports whether the last read of the upstreams' records succeeded.
+func (f *Feed) Healthy() bool { return f.healthy.Load() }
+
+// Run follows the sources until ctx ends.
+func (f *Feed) Run(ctx context.Context) {
+	f.start = time.Now()
+	f.lastTrouble.Store(-int64(time.Hour))
+	done := make(chan struct{})
+	sources := []gateway.Source{gateway.Operators, gateway.Upstreams, gateway.Statuses, gateway.Entries}
+	for _, s := range sources {
+		go func() {
+			f.follow(ctx, s)
+			done <- struct{}{}
+		}()
+	}
+	for range sources {
+		<-done
+	}
+}
+
+func (f *Feed) follow(ctx context.Context, source gateway.Source) {
+	position := int64(-1)
+	for ctx.Err() == nil {
+		batch, findings, err := f.next(ctx, source, position)
+		for _, finding := range findings {
+			f.Log.Warn().Str("source", source.String()).Err(finding).Msg("record ignored")
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			position = f.failed(ctx, source, position, err)
+			continue
+		}
+		f.succeeded(source)
+		position = batch.End
+		if batch.Snapshot || len(batch.Updates) > 0 {
+			f.Deliver(batch, f.disturbed())
+		}
+		pause := orderPause
+		if source == gateway.Upstreams {
+			pause = heartbeatPause
+		}
+		sleep(ctx, pause)
+	}
+}
+
+func (f *Feed) next(ctx context.Context, source gateway.Source, position int64) (gateway.Batch, []error, error) {
+	if position < 0 {
+		return f.Store.Newest(ctx, source)
+	}
+	wait := orderWait
+	if source == gateway.Upstreams {
+		wait = upstreamWait
+	}
+	return f.Store.Read(ctx, source, position, wait)
+}
+
+func (f *Feed) failed(ctx context.Context, source gateway.Source, position int64, err error) int64 {
+	if errors.Is(err, gateway.ErrExpired) {
+		f.Log.Info().Str("source", source.String()).Int64("offset", position).Msg("records left the log; reading the newest")
+		return -1
+	}
+	f.lastTrouble.Store(int64(time.Since(f.start)))
+	if source == gateway.Upstreams && f.healthy.Swap(false) {
+		f.Log.Warn().Str("dependency", "store").Err(err).Msg("dependency lost")
+	}
+	sleep(ctx, retryPause)
+	return position
+}
+
+func (f *Feed) succeeded(source gateway.Source) {
+	if source == gateway.Upstreams && !f.healthy.Swap(true) {
+		f.Log.Info().Str("dependency", "store").Msg("dependency available")
+	}
+}
+
+func (f *Feed) disturbed() bool {
+	return time.Since(f.start)-time.Duration(f.lastTrouble.Load()) < lapseTime
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/gateway/config.go
@@ -0,0 +1,91 @@
+package gateway
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Kind says whether a request may run more than once.
+type Kind uint8
+
+// Kinds of requests.
+const (
+	Unsafe   Kind = iota // at most one run for each attempt of a caller
+	Safe                 // may run more than once
+	Download             // as Safe, with large responses
+)
+
+// Idempotent reports whether a request of this kind may run more than once.
+func (k Kind) Idempotent() bool { return k != Unsafe }
+
+// Part is one service of a route and its share of the requests.
+type Part struct {
+	Service string  `cbor:"1,keyasint"`
+	Weight  float64 `cbor:"2,keyasint"`
+}
+
+// Route sends the requests of a host whose path begins with Prefix to one or several services.
+type Route struct {
+	Name        string        `cbor:"1,keyasint"`
+	Host        string        `cbor:"2,keyasint"`
+	Prefix      string        `cbor:"3,keyasint"`
+	Kind        Kind          `cbor:"4,keyasint"`
+	Timeout     time.Duration `cbor:"5,keyasint"` // longest time that a request is kept waiting
+	Objective   time.Duration `cbor:"6,keyasint"` // latency objective
+	Priority    int           `cbor:"7,keyasint"` // 0 is the highest
+	Parts       []Part        `cbor:"8,keyasint"`
+	MaxAttempts int           `cbor:"9,keyasint"` // upstreams that may run one request
+}
+
+// Service is what all upstreams of a service have in common.
+type Service struct {
+	Name          string        `cbor:"1,keyasint"`
+	HealthPath    string        `cbor:"2,keyasint"`
+	MaxConns      int           `cbor:"3,keyasint"` // per upstream, from all callers together
+	ColdStart     time.Duration `cbor:"4,keyasint"`
+	ColdPerSecond float64       `cbor:"5,keyasint"` // requests per second that a cold upstream bears
+}
+
+// Limits bound what a caller may send and how long a connection may stay idle.
+type Limits struct {
+	HeaderBytes   int64         `cbor:"1,keyasint"`
+	BodyBytes     int64         `cbor:"2,keyasint"`
+	HeaderTimeout time.Duration `cbor:"3,keyasint"`
+	IdleTimeout   time.Duration `cbor:"4,keyasint"`
+}
+
+// Config is one version of the operators' configuration.
+type Config struct {
+	Version  uint64             `cbor:"1,keyasint"`
+	Routes   []Route            `cbor:"2,keyasint"`
+	Services map[string]Service `cbor:"3,keyasint"`
+	Limits   Limits             `cbor:"4,keyasint"`
+
+	byHost map[string][]*Route // longest prefix first
+}
+
+// Index prepares Match. Call it once, before the configuration is shared.
+func (c *Config) Index() {
+	c.byHost = make(map[string][]*Route)
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		c.byHost[r.Host] = append(c.byHost[r.Host], r)
+	}
+	for _, routes := range c.byHost {
+		slices.SortFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+}
+
+// Match returns the route of the host with the longest prefix of path, or nil. A port in host is ignored.
+func (c *Config) Match(host, path string) *Route {
+	if name, _, found := strings.Cut(host, ":"); found {
+		host = name
+	}
+	for _, r := range c.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/gateway/world.go
@@ -0,0 +1,290 @@
+package gateway
+
+import (
+	"maps"
+	"time"
+)
+
+// Upstream is one registered process of a service.
+type Upstream struct {
+	ID       string        `cbor:"1,keyasint"`
+	Service  string        `cbor:"2,keyasint"`
+	Address  string        `cbor:"3,keyasint"`
+	Zone     string        `cbor:"4,keyasint"` // data centre
+	Version  string        `cbor:"5,keyasint"`
+	Slots    int           `cbor:"6,keyasint"`
+	Draining bool          `cbor:"7,keyasint"`
+	ColdLeft time.Duration `cbor:"8,keyasint"` // remaining cold start when the record was written
+	Seq      uint64        `cbor:"9,keyasint"`
+	Born     int64         `cbor:"10,keyasint"` // Unix milliseconds of its start; 0 when unknown
+}
+
+// sameState reports whether the two records differ in heartbeat fields only.
+func (u Upstream) sameState(v Upstream) bool {
+	u.Seq, v.Seq, u.ColdLeft, v.ColdLeft = 0, 0, 0, 0
+	return u == v
+}
+
+// Move is an operator's order to move a service's traffic to a version.
+type Move struct {
+	Service  string        `cbor:"1,keyasint"`
+	Version  string        `cbor:"2,keyasint"`
+	Duration time.Duration `cbor:"3,keyasint"`
+}
+
+// MoveState is the reported state of a move.
+type MoveState uint8
+
+// States of a move.
+const (
+	MoveRunning MoveState = iota + 1
+	MoveCompleted
+	MoveRolledBack
+)
+
+// String returns the state in words.
+func (s MoveState) String() string {
+	return [...]string{"unknown", "running", "completed", "rolled back"}[s]
+}
+
+// MoveStatus is what the system reported of a move.
+type MoveStatus struct {
+	Service string    `cbor:"1,keyasint"`
+	Version string    `cbor:"2,keyasint"`
+	State   MoveState `cbor:"3,keyasint"`
+}
+
+// Entry is one process of this system as it announces itself to the others.
+type Entry struct {
+	Name     string  `cbor:"1,keyasint"`
+	Zone     string  `cbor:"2,keyasint"`
+	Callers  string  `cbor:"3,keyasint"` // address for callers
+	Peer     string  `cbor:"4,keyasint"` // address for other entries
+	CPUShare float64 `cbor:"5,keyasint"` // share of a core
+}
+
+// Source names the log that an update comes from.
+type Source uint8
+
+// Sources of updates.
+const (
+	Operators Source = iota
+	Upstreams
+	Statuses
+	Entries
+	sourceCount
+)
+
+// String returns the name of the source.
+func (s Source) String() string {
+	return [...]string{"operators", "upstreams", "statuses", "entries"}[s]
+}
+
+// Update is one record. Exactly one of the pointers is set, or none: Removed drops the key, and a record that can't be
+// used has neither.
+type Update struct {
+	Key     string      `cbor:"1,keyasint"`
+	Offset  int64       `cbor:"2,keyasint"`
+	Removed bool        `cbor:"3,keyasint,omitempty"`
+	Config  *Config     `cbor:"4,keyasint,omitempty"`
+	Up      *Upstream   `cbor:"5,keyasint,omitempty"`
+	Move    *Move       `cbor:"6,keyasint,omitempty"`
+	Evacuee string      `cbor:"7,keyasint,omitempty"` // data centre to be taken out
+	Status  *MoveStatus `cbor:"8,keyasint,omitempty"`
+	Entry   *Entry      `cbor:"9,keyasint,omitempty"`
+}
+
+// Batch is a run of updates of one source. A snapshot holds every key, so the keys that it lacks are gone.
+type Batch struct {
+	Source   Source   `cbor:"1,keyasint"`
+	Snapshot bool     `cbor:"2,keyasint,omitempty"`
+	End      int64    `cbor:"3,keyasint"` // offset after the last record
+	Updates  []Update `cbor:"4,keyasint,omitempty"`
+}
+
+// Tombstone is an upstream whose record vanished at At. Disturbed says that the store had been unavailable shortly before,
+// so the record may have lapsed although the upstream lives.
+type Tombstone struct {
+	Upstream  Upstream
+	At        time.Time
+	Disturbed bool
+}
+
+// World is the fold of all updates. It is not safe for concurrent use.
+type World struct {
+	Config     *Config
+	Upstreams  map[string]Upstream
+	Tombstones map[string]Tombstone
+	Evacuated  map[string]bool
+	Moves      map[string]Move
+	MoveOffset map[string]int64 // offset of the order, which tells a repeated order from a new one
+	MoveSeen   map[string]time.Time
+	Statuses   map[string]MoveStatus
+	Entries    map[string]Entry
+
+	offsets [sourceCount]map[string]int64
+	Ends    [sourceCount]int64
+}
+
+// NewWorld returns a World that knows nothing.
+func NewWorld() *World {
+	w := &World{
+		Upstreams: map[string]Upstream{}, Tombstones: map[string]Tombstone{}, Evacuated: map[string]bool{},
+		Moves: map[string]Move{}, MoveOffset: map[string]int64{},
+		MoveSeen: map[string]time.Time{}, Statuses: map[string]MoveStatus{}, Entries: map[string]Entry{},
+	}
+	for i := range w.offsets {
+		w.offsets[i] = map[string]int64{}
+	}
+	return w
+}
+
+// Apply folds a batch and returns the updates that changed more than a heartbeat, as a batch to pass on to other entries.
+// disturbed says that the store was unavailable shortly before; see Tombstone.
+func (w *World) Apply(now time.Time, b Batch, disturbed bool) Batch {
+	changed := Batch{Source: b.Source, End: b.End, Snapshot: b.Snapshot}
+	for _, u := range b.Updates {
+		if w.applyOne(now, b.Source, u, disturbed) || b.Snapshot {
+			changed.Updates = append(changed.Updates, u)
+		}
+	}
+	if b.Snapshot {
+		w.dropMissing(now, b, disturbed)
+	}
+	w.Ends[b.Source] = max(w.Ends[b.Source], b.End)
+	return changed
+}
+
+func (w *World) applyOne(now time.Time, source Source, u Update, disturbed bool) bool {
+	if last, known := w.offsets[source][u.Key]; known && u.Offset <= last {
+		return false
+	}
+	w.offsets[source][u.Key] = u.Offset
+	switch {
+	case u.Removed:
+		return w.remove(now, source, u.Key, disturbed)
+	case u.Config != nil:
+		return w.setConfig(u.Config)
+	case u.Up != nil:
+		return w.setUpstream(*u.Up)
+	case u.Move != nil:
+		w.Moves[u.Move.Service] = *u.Move
+		w.MoveOffset[u.Move.Service] = u.Offset
+		w.MoveSeen[u.Move.Service] = now
+	case u.Evacuee != "":
+		w.Evacuated[u.Evacuee] = true
+	case u.Status != nil:
+		w.Statuses[u.Status.Service] = *u.Status
+	case u.Entry != nil:
+		w.Entries[u.Key] = *u.Entry
+	case source == Upstreams:
+		// The newest record can't be read: it names no upstream to use.
+		return w.remove(now, source, u.Key, false)
+	default:
+		return false
+	}
+	return true
+}
+
+func (w *World) setConfig(c *Config) bool {
+	if w.Config != nil && c.Version <= w.Config.Version {
+		return false
+	}
+	c.Index()
+	w.Config = c
+	return true
+}
+
+func (w *World) setUpstream(u Upstream) bool {
+	old, known := w.Upstreams[u.ID]
+	if known && outdated(u, old) {
+		return false
+	}
+	if known && old.Draining && u.Born == old.Born {
+		u.Draining = true // a process that drains ends; only a new one serves again
+	}
+	w.Upstreams[u.ID] = u
+	delete(w.Tombstones, u.ID)
+	return !known || !old.sameState(u)
+}
+
+// outdated reports whether u was written before old: by an earlier process under the same ID, or as an earlier heartbeat.
+func outdated(u, old Upstream) bool {
+	if u.Born != old.Born {
+		return u.Born < old.Born
+	}
+	return u.Seq < old.Seq
+}
+
+func (w *World) remove(now time.Time, source Source, key string, disturbed bool) bool {
+	switch source {
+	case Upstreams:
+		old, known := w.Upstreams[key]
+		if known {
+			w.Tombstones[key] = Tombstone{Upstream: old, At: now, Disturbed: disturbed}
+			delete(w.Upstreams, key)
+		}
+		return known
+	case Entries:
+		delete(w.Entries, key)
+	case Operators:
+		w.removeOrder(key)
+	case Statuses:
+	}
+	return true
+}
+
+func (w *World) removeOrder(key string) {
+	kind, name, _ := cutKey(key)
+	switch kind {
+	case EvacuateKey:
+		delete(w.Evacuated, name)
+	case MoveKey:
+		delete(w.Moves, name)
+	}
+}
+
+func (w *World) dropMissing(now time.Time, b Batch, disturbed bool) {
+	present := make(map[string]bool, len(b.Updates))
+	for _, u := range b.Updates {
+		present[u.Key] = true
+	}
+	for key, offset := range maps.Clone(w.offsets[b.Source]) {
+		if !present[key] && offset < b.End {
+			w.remove(now, b.Source, key, disturbed)
+			w.offsets[b.Source][key] = b.End - 1
+		}
+	}
+}
+
+// Snapshot returns the whole World as batches, for an entry that joins.
+func (w *World) Snapshot() []Batch {
+	operators := Batch{Source: Operators, Snapshot: true, End: w.Ends[Operators]}
+	if w.Config != nil {
+		operators.add(w, ConfigKey, Update{Config: w.Config})
+	}
+	for name, m := range w.Moves {
+		operators.add(w, MoveKey+name, Update{Move: &m})
+	}
+	for zone := range w.Evacuated {
+		operators.add(w, EvacuateKey+zone, Update{Evacuee: zone})
+	}
+	upstreams := Batch{Source: Upstreams, Snapshot: true, End: w.Ends[Upstreams]}
+	for id, u := range w.Upstreams {
+		upstreams.add(w, id, Update{Up: &u})
+	}
+	statuses := Batch{Source: Statuses, Snapshot: true, End: w.Ends[Statuses]}
+	for name, s := range w.Statuses {
+		statuses.add(w, MoveKey+name, Update{Status: &s})
+	}
+	entries := Batch{Source: Entries, Snapshot: true, End: w.Ends[Entries]}
+	for name, e := range w.Entries {
+		entries.add(w, name, Update{Entry: &e})
+	}
+	return []Batch{operators, upstreams, statuses, entries}
+}
+
+func (b *Batch) add(w *World, key string, u Update) {
+	u.Key, u.Offset = key, w.offsets[b.Source][key]
+	b.Updates = append(b.Updates, u)
+}
--- /dev/null
+++ b/internal/ingress/exchange.go
@@ -0,0 +1,365 @@
+package ingress
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"boragehinge.example/boragehinge/internal/coordinator"
+	"boragehinge.example/boragehinge/internal/gateway"
+	"boragehinge.example/boragehinge/internal/placement"
+	"boragehinge.example/boragehinge/internal/telemetry"
+	"boragehinge.example/boragehinge/internal/transport"
+)
+
+const (
+	// answerMargin is kept from the deadline so that the last answer still reaches the caller.
+	answerMargin = 12 * time.Millisecond
+	// maxRefusedTries bounds the upstreams that may refuse one request.
+	maxRefusedTries = 3
+	// bufferedResponse is the largest response that is read in full before the caller gets its first byte. Until then a
+	// response that breaks off can be replaced by another attempt.
+	bufferedResponse = 128 << 10
+	// unknownRetryAfter is told while this entry knows no configuration.
+	unknownRetryAfter = 200 * time.Millisecond
+)
+
+// exchange is one request of a caller and its response.
+type exchange struct {
+	conn     *conn
+	s        *Server
+	req      *http.Request
+	arrived  time.Time
+	turn     chan struct{} // closed when the response before this one is written
+	ended    chan struct{}
+	number   int
+	body     []byte
+	streamed *streamedBody
+	reject   int // status of a request that can't be accepted
+
+	id        string
+	config    *gateway.Config
+	route     *gateway.Route
+	service   string
+	deadline  time.Time
+	objective time.Time
+	attempts  int // upstreams that may have run the request
+	refusals  int // upstreams that refused it
+	exclude   []string
+	print     uint64
+	lost      error // failure of an attempt that may have run
+}
+
+// run answers the request.
+func (x *exchange) run() {
+	defer func() {
+		if x.streamed != nil {
+			x.streamed.release()
+		}
+		x.conn.answered()
+		close(x.ended)
+		<-x.conn.slots
+	}()
+	if x.reject != 0 {
+		x.answer(x.reject, 0, true, "not-accepted")
+		return
+	}
+	if !x.admit() {
+		return
+	}
+	ctx, cancel := context.WithDeadline(x.conn.ctx, x.deadline)
+	defer cancel()
+	for x.try(ctx) {
+	}
+}
+
+// admit finds the route and the times of the request. It answers a request that can't be routed.
+func (x *exchange) admit() bool {
+	x.id = x.req.Header.Get(x.s.o.Names.RequestID)
+	x.config = x.s.o.Placer.Config()
+	if x.config == nil {
+		x.answer(http.StatusServiceUnavailable, unknownRetryAfter, false, "no-configuration")
+		return false
+	}
+	if x.req.Host == "" || x.id == "" || !strings.HasPrefix(x.req.RequestURI, "/") {
+		x.answer(http.StatusBadRequest, 0, true, "malformed")
+		return false
+	}
+	x.route = x.config.Match(x.req.Host, x.req.URL.Path)
+	if x.route == nil {
+		x.answer(http.StatusNotFound, 0, false, "no-route")
+		return false
+	}
+	wait := x.route.Timeout
+	if ms, err := strconv.ParseInt(x.req.Header.Get(x.s.o.Names.DeadlineMs), 10, 64); err == nil && ms >= 0 {
+		if d := time.Duration(ms) * time.Millisecond; wait == 0 || d < wait {
+			wait = d
+		}
+	}
+	x.deadline = x.arrived.Add(wait - answerMargin)
+	x.objective = x.arrived.Add(x.route.Objective - answerMargin)
+	x.service = x.s.splits.choose(x.config.Version, x.route)
+	dropConnectionHeaders(x.req.Header)
+	x.print = fingerprint(x.req, x.body)
+	return true
+}
+
+func fingerprint(req *http.Request, body []byte) uint64 {
+	h := xxhash.New()
+	_, _ = h.WriteString(req.Method) // never fails
+	_, _ = h.WriteString(req.Host)
+	_, _ = h.WriteString(req.RequestURI)
+	_, _ = h.Write(body)
+	return h.Sum64()
+}
+
+// try makes one attempt and reports whether another one should follow.
+func (x *exchange) try(ctx context.Context) (again bool) {
+	asked := time.Now()
+	p, err := x.s.o.Placer.Place(ctx, x.ask(), x.objective, x.deadline)
+	if err != nil {
+		x.notPlaced(ctx, err)
+		return false
+	}
+	x.logPlacement(p, asked)
+	x.s.o.Metrics.waited.Observe(p.Waited.Seconds())
+	started := time.Now()
+	resp, err := x.send(ctx, p)
+	if err != nil {
+		return x.failed(ctx, p, started, err)
+	}
+	return x.respond(ctx, p, started, resp)
+}
+
+func (x *exchange) ask() coordinator.Ask {
+	return coordinator.Ask{
+		RequestID: x.id, Service: x.service, Route: x.route.Name, Zone: x.s.o.Zone, Large: x.route.Kind == gateway.Download,
+		Priority: x.route.Priority, Attempt: 1 + x.attempts + x.refusals, Exclude: x.exclude, Fingerprint: x.print,
+	}
+}
+
+func (x *exchange) notPlaced(ctx context.Context, err error) {
+	var refused *coordinator.Refused
+	switch {
+	case errors.As(err, &refused) && x.lost != nil:
+		x.answer(http.StatusBadGateway, 0, false, "lost")
+	case errors.As(err, &refused):
+		x.s.o.Metrics.refusals.WithLabelValues(string(refused.Reason)).Inc()
+		x.answer(http.StatusServiceUnavailable, refused.RetryAfter, false, string(refused.Reason))
+	case x.conn.ctx.Err() != nil:
+		x.note("cancelled", "caller-left")
+	case x.lost != nil:
+		x.answer(http.StatusGatewayTimeout, 0, false, "deadline")
+	default:
+		_ = ctx
+		x.answer(http.StatusServiceUnavailable, 0, false, "deadline")
+	}
+}
+
+// send passes the request on to the upstream that it was placed on.
+func (x *exchange) send(ctx context.Context, p *coordinator.Placed) (*transport.Response, error) {
+	names := &x.s.o.Names
+	header := x.req.Header.Clone()
+	left := time.Until(x.deadline)
+	header.Set(names.DeadlineMs, strconv.FormatInt(max(1, left.Milliseconds()), 10))
+	header.Set(names.ExpectInstance, p.Upstream)
+	if _, ok := header["User-Agent"]; !ok {
+		header["User-Agent"] = []string{""} // keeps net/http from adding its own
+	}
+	path, query, found := strings.Cut(x.req.RequestURI, "?")
+	out := &http.Request{
+		Method: x.req.Method, Host: x.req.Host, Header: header,
+		URL: &url.URL{Scheme: "http", Host: x.req.Host, Opaque: path, RawQuery: query, ForceQuery: found && query == ""},
+	}
+	switch {
+	case x.streamed != nil:
+		if !x.streamed.take() {
+			return nil, errBodyGone
+		}
+		out.Body, out.ContentLength = x.streamed, x.req.ContentLength
+	case len(x.body) > 0:
+		out.Body, out.ContentLength = memoryBody{bytes.NewReader(x.body)}, int64(len(x.body))
+	}
+	return x.s.o.Transport.RoundTrip(transport.WithRoute(ctx, x.route.Name), p.Address, out, x.route.Kind.Idempotent())
+}
+
+var errBodyGone = errors.New("the body was sent already")
+
+// failed handles an attempt without a usable response.
+func (x *exchange) failed(ctx context.Context, p *coordinator.Placed, started time.Time, err error) (again bool) {
+	outcome, notRun := x.classify(ctx, err)
+	var te *transport.Error
+	var load *placement.Load
+	if errors.As(err, &te) && te.Header != nil {
+		load = x.s.o.Names.ParseLoad(te.Header.Get(x.s.o.Names.Load))
+	}
+	p.Finish(outcome, time.Since(started), load)
+	x.s.o.Metrics.attempts.WithLabelValues(outcome.String()).Inc()
+	x.record("attempt", p, outcome.String(), err.Error(), started)
+	if x.conn.ctx.Err() != nil {
+		x.note("cancelled", "caller-left")
+		return false
+	}
+	x.exclude = append(x.exclude, p.Upstream)
+	if notRun {
+		x.refusals++
+	} else {
+		x.attempts++
+		x.lost = err
+	}
+	if x.mayRepeat(ctx, notRun) {
+		return true
+	}
+	switch {
+	case x.lost == nil:
+		x.answer(http.StatusServiceUnavailable, placement.MinRetryAfter, false, outcome.String())
+	case ctx.Err() != nil:
+		x.answer(http.StatusGatewayTimeout, 0, false, outcome.String())
+	default:
+		x.answer(http.StatusBadGateway, 0, false, outcome.String())
+	}
+	return false
+}
+
+func (x *exchange) classify(ctx context.Context, err error) (outcome placement.Outcome, notRun bool) {
+	var te *transport.Error
+	if !errors.As(err, &te) {
+		return placement.Lost, false
+	}
+	switch {
+	case x.conn.ctx.Err() != nil:
+		return placement.Cancelled, te.NotRun()
+	case te.Kind == transport.UpstreamNotRun && te.Status == http.StatusMisdirectedRequest:
+		return placement.Elsewhere, true
+	case te.Kind == transport.UpstreamNotRun:
+		return placement.NotRun, true
+	case te.Kind == transport.ConnectFailed:
+		return placement.ConnectFailed, true
+	case te.Kind == transport.NothingWritten:
+		return placement.Cancelled, true
+	case ctx.Err() != nil, te.Cause == transport.CauseSilent:
+		return placement.Silent, false
+	}
+	return placement.Lost, false
+}
+
+func (x *exchange) mayRepeat(ctx context.Context, notRun bool) bool {
+	if ctx.Err() != nil || x.streamed != nil {
+		return false
+	}
+	if notRun {
+		return x.refusals < maxRefusedTries && (x.lost == nil || x.route.Kind.Idempotent())
+	}
+	return x.route.Kind.Idempotent() && x.attempts < x.route.MaxAttempts
+}
+
+// respond returns the upstream's response to the caller, or tries again when it breaks off early.
+func (x *exchange) respond(ctx context.Context, p *coordinator.Placed, started time.Time, resp *transport.Response) (again bool) {
+	defer func() { _ = resp.Body.Close() }() // a body that was read in full has given its connection back already
+	load := x.s.o.Names.ParseLoad(resp.Header.Get(x.s.o.Names.Load))
+	head, err := io.ReadAll(io.LimitReader(resp.Body, bufferedResponse+1))
+	whole := err == nil && len(head) <= bufferedResponse
+	if err == nil && resp.StatusCode < 300 && resp.Header.Get(x.s.o.Names.Stamp) == "" {
+		err = errNoStamp
+	}
+	if err != nil {
+		return x.failed(ctx, p, started, err)
+	}
+	outcome := placement.Success
+	if resp.StatusCode >= 500 {
+		outcome = placement.Failure
+	}
+	if whole {
+		p.Finish(outcome, time.Since(started), load)
+		x.s.o.Metrics.attempts.WithLabelValues(outcome.String()).Inc()
+		if outcome == placement.Failure && x.repeatFailure(ctx, p) {
+			x.record("attempt", p, "failure", strconv.Itoa(resp.StatusCode), started)
+			return true
+		}
+		x.write(resp, head, nil)
+		x.record("response", p, strconv.Itoa(resp.StatusCode), "", started)
+		return false
+	}
+	err = x.write(resp, head, resp.Body)
+	if err != nil {
+		outcome = placement.Lost
+		if x.conn.ctx.Err() != nil {
+			outcome = placement.Cancelled
+		}
+		x.record("response", p, "cut", err.Error(), started)
+	} else {
+		x.record("response", p, strconv.Itoa(resp.StatusCode), "", started)
+	}
+	p.Finish(outcome, time.Since(started), load)
+	x.s.o.Metrics.attempts.WithLabelValues(outcome.String()).Inc()
+	return false
+}
+
+var errNoStamp = errors.New("a success without the upstream's signature")
+
+// repeatFailure reports whether a failure of an upstream is worth a second attempt.
+func (x *exchange) repeatFailure(ctx context.Context, p *coordinator.Placed) bool {
+	x.attempts++
+	x.exclude = append(x.exclude, p.Upstream)
+	if !x.mayRepeat(ctx, false) || time.Now().After(x.objective) {
+		return false
+	}
+	x.lost = errUpstreamFailed
+	return true
+}
+
+var errUpstreamFailed = errors.New("the upstream answered with a failure")
+
+func (x *exchange) logPlacement(p *coordinator.Placed, asked time.Time) {
+	b := make([]byte, 0, 128)
+	b = append(b, "route="...)
+	b = append(b, x.route.Name...)
+	b = append(b, " config="...)
+	b = strconv.AppendUint(b, x.config.Version, 10)
+	b = append(b, " attempt="...)
+	b = strconv.AppendInt(b, int64(1+x.attempts+x.refusals), 10)
+	b = append(b, " pace="...)
+	b = strconv.AppendFloat(b, p.Pace, 'f', 2, 64)
+	b = append(b, " paceAgeMs="...)
+	b = strconv.AppendInt(b, p.PaceAge.Milliseconds(), 10)
+	b = append(b, " running="...)
+	b = strconv.AppendInt(b, int64(p.Running), 10)
+	b = append(b, " waitedMs="...)
+	b = strconv.AppendInt(b, time.Since(asked).Milliseconds(), 10)
+	if p.Cold {
+		b = append(b, " cold=true"...)
+	}
+	x.s.o.Decisions.Record(time.Now(), telemetry.Decision{
+		Kind: "placement", RequestID: x.id, Service: x.service, Upstream: p.Upstream, Outcome: "granted", Reason: p.Mode, Inputs: string(b),
+	})
+}
+
+func (x *exchange) record(kind string, p *coordinator.Placed, outcome, reason string, started time.Time) {
+	now := time.Now()
+	inputs := "ms=" + strconv.FormatInt(now.Sub(started).Milliseconds(), 10) + " totalMs=" + strconv.FormatInt(now.Sub(x.arrived).Milliseconds(), 10)
+	x.s.o.Decisions.Record(now, telemetry.Decision{
+		Kind: kind, RequestID: x.id, Service: x.service, Upstream: p.Upstream, Outcome: outcome, Reason: reason, Inputs: inputs,
+	})
+}
+
+// note records the end of a request that no upstream answered.
+func (x *exchange) note(outcome, reason string) {
+	inputs := "totalMs=" + strconv.FormatInt(time.Since(x.arrived).Milliseconds(), 10) + " tries=" + strconv.Itoa(x.attempts+x.refusals)
+	if x.config != nil {
+		inputs += " config=" + strconv.FormatUint(x.config.Version, 10)
+	}
+	if x.route != nil {
+		inputs += " route=" + x.route.Name
+	}
+	x.s.o.Decisions.Record(time.Now(), telemetry.Decision{
+		Kind: "response", RequestID: x.id, Service: x.service, Outcome: outcome, Reason: reason, Inputs: inputs,
+	})
+}
--- /dev/null
+++ b/internal/ingress/metrics.go
@@ -0,0 +1,35 @@
+package ingress
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// Metrics are the counters and histograms of a Server.
+type Metrics struct {
+	connections prometheus.Counter
+	responses   *prometheus.CounterVec
+	attempts    *prometheus.CounterVec
+	refusals    *prometheus.CounterVec
+	latency     prometheus.Histogram
+	waited      prometheus.Histogram
+}
+
+// latencyBuckets cover service times from a fast lookup to the longest deadlines, in seconds.
+var latencyBuckets = []float64{.005, .01, .025, .05, .1, .15, .25, .4, .6, 1, 1.5, 2.5, 6}
+
+// NewMetrics registers the metrics.
+func NewMetrics(r prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		connections: prometheus.NewCounter(prometheus.CounterOpts{Name: "boragehinge_caller_connections_total", Help: "Connections of callers."}),
+		responses: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "boragehinge_responses_total",
+			Help: "Responses to callers by status."}, []string{"status"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "boragehinge_attempts_total",
+			Help: "Attempts at upstreams by outcome."}, []string{"outcome"}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "boragehinge_refusals_total",
+			Help: "Requests that were refused without an attempt, by reason."}, []string{"reason"}),
+		latency: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "boragehinge_response_seconds",
+			Help: "Time from the first byte of a request to its response.", Buckets: latencyBuckets}),
+		waited: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "boragehinge_placement_wait_seconds",
+			Help: "Time that a request waited for an upstream.", Buckets: latencyBuckets}),
+	}
+	r.MustRegister(m.connections, m.responses, m.attempts, m.refusals, m.latency, m.waited)
+	return m
+}
--- /dev/null
+++ b/internal/ingress/server.go
@@ -0,0 +1,104 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"boragehinge.example/boragehinge/internal/coordinator"
+	"boragehinge.example/boragehinge/internal/gateway"
+	"boragehinge.example/boragehinge/internal/telemetry"
+	"boragehinge.example/boragehinge/internal/transport"
+)
+
+// Placer chooses the upstream of each request.
+type Placer interface {
+	Place(ctx context.Context, a coordinator.Ask, objective, deadline time.Time) (*coordinator.Placed, error)
+	Config() *gateway.Config
+}
+
+// Options describe a Server.
+type Options struct {
+	Zone      string // data centre of this entry
+	Names     Names
+	Placer    Placer
+	Transport *transport.Transport
+	Decisions *telemetry.DecisionLog
+	Metrics   *Metrics
+	Log       zerolog.Logger
+}
+
+// Server accepts connections of callers.
+type Server struct {
+	o       Options
+	splits  splits
+	leaving atomic.Bool
+
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+}
+
+// NewServer returns a server; Serve starts it.
+func NewServer(o Options) *Server {
+	return &Server{o: o, conns: map[*conn]struct{}{}}
+}
+
+const acceptPause = 5 * time.Millisecond
+
+// Serve accepts connections until the listener is closed.
+func (s *Server) Serve(l net.Listener) error {
+	for {
+		nc, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			// Descriptors may be used up for a moment; callers go on waiting in the queue of the listener.
+			s.o.Log.Warn().Err(err).Msg("accept")
+			time.Sleep(acceptPause)
+			continue
+		}
+		s.o.Metrics.connections.Inc()
+		c := newConn(s, nc)
+		s.mu.Lock()
+		s.conns[c] = struct{}{}
+		s.mu.Unlock()
+		go c.serve()
+	}
+}
+
+func (s *Server) forget(c *conn) {
+	s.mu.Lock()
+	delete(s.conns, c)
+	s.mu.Unlock()
+}
+
+// Leave makes each further response close its connection, where no other request was read from it.
+func (s *Server) Leave() { s.leaving.Store(true) }
+
+// Drain closes idle connections and waits until the others have been answered, or ctx ends.
+func (s *Server) Drain(ctx context.Context) error {
+	s.Leave()
+	for {
+		s.mu.Lock()
+		open := len(s.conns)
+		for c := range s.conns {
+			c.closeIfIdle()
+		}
+		s.mu.Unlock()
+		if open == 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%d connections are still open: %w", open, ctx.Err())
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
--- /dev/null
+++ b/internal/placement/move.go
@@ -0,0 +1,211 @@
+package placement
+
+import "time"
+
+// Bounds of a move to a new version.
+const (
+	// trialShare is the part of the requests that a version on trial gets; the bound on a bad version is 0.1.
+	trialShare = 0.03
+	trialSlack = 12
+	// finalPhase is the time before the end of a move at which all traffic goes to the new version.
+	finalPhase = 1300 * time.Millisecond
+	// drainBeforeCompletion is how long calls on the old version may still run; it ends at once on completion.
+	drainBeforeCompletion = 900 * time.Millisecond
+	minTrialAnswers       = 10
+	badFailures           = 3
+	badFailureShare       = 0.08
+	badSlowdown           = 1.9
+	minSlowSamples        = 8
+)
+
+// MovePhase says where a move stands.
+type MovePhase uint8
+
+// Phases of a move.
+const (
+	NoMove     MovePhase = iota
+	Trial                // the new version gets a small share
+	Final                // all requests go to the new version while the old one finishes its calls
+	Done                 // completed: only the new version
+	RolledBack           // only the old versions
+)
+
+// String returns the phase in words.
+func (m MovePhase) String() string {
+	return [...]string{"none", "trial", "final", "done", "rolled-back"}[m]
+}
+
+type versionStats struct {
+	answers, failures int
+	slowSamples       int
+	slowSum           float64
+}
+
+type moveState struct {
+	version        string
+	phase          MovePhase
+	deadline       time.Time
+	total, onTrial float64
+	stats          map[string]*versionStats // by route, of the new version
+	oldStats       versionStats
+	verdict        string
+}
+
+// StartMove begins a move to a version, with the time that is left for it.
+func (p *Pool) StartMove(now time.Time, version string, left time.Duration) {
+	p.move = moveState{version: version, phase: Trial, deadline: now.Add(left), stats: map[string]*versionStats{}}
+}
+
+// SettleMove takes over the reported end of a move.
+func (p *Pool) SettleMove(version string, phase MovePhase) {
+	if p.move.version != version {
+		p.move = moveState{version: version, stats: map[string]*versionStats{}}
+	}
+	p.move.phase = phase
+}
+
+// EndMove forgets the move.
+func (p *Pool) EndMove() { p.move = moveState{} }
+
+// Move returns the version and phase of the current move.
+func (p *Pool) Move() (version string, phase MovePhase) { return p.move.version, p.move.phase }
+
+// AdvanceMove decides on the next phase. ready says that the caller may report an end now; the result tells the phase and
+// why it was entered, or that nothing changed.
+func (p *Pool) AdvanceMove(now time.Time) (phase MovePhase, why string, changed bool) {
+	m := &p.move
+	if m.phase != Trial && m.phase != Final {
+		return m.phase, "", false
+	}
+	if bad := m.judge(); bad != "" {
+		m.phase = RolledBack
+		return m.phase, bad, true
+	}
+	if m.phase == Trial && now.Add(finalPhase).After(m.deadline) {
+		if !p.hasUpstreams(m.version) {
+			return m.phase, "", false
+		}
+		m.phase = Final
+		m.deadline = now.Add(drainBeforeCompletion)
+		return m.phase, "the trial is over", true
+	}
+	if m.phase == Final && (p.runningOnOther(m.version) == 0 || now.After(m.deadline)) {
+		m.phase = Done
+		return m.phase, "the old version has finished its calls", true
+	}
+	return m.phase, "", false
+}
+
+func (p *Pool) hasUpstreams(version string) bool {
+	for _, u := range p.order {
+		if u.spec.Version == version && !u.spec.Closed && u.reachable {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Pool) runningOnOther(version string) int {
+	n := 0
+	for _, u := range p.order {
+		if u.spec.Version != version {
+			n += len(u.running)
+		}
+	}
+	return n
+}
+
+// allows reports whether the version may get requests at all.
+func (m *moveState) allows(version string) bool {
+	isNew := version == m.version
+	switch m.phase {
+	case Final, Done:
+		return isNew
+	case RolledBack:
+		return !isNew
+	}
+	return true
+}
+
+// admits reports whether the version may get a request now.
+func (m *moveState) admits(version string) bool {
+	if m.phase == Trial && version == m.version {
+		return m.onTrial+1 <= trialShare*m.total+trialSlack
+	}
+	return m.allows(version)
+}
+
+func (m *moveState) arrived(time.Time) {
+	if m.phase == Trial {
+		m.total++
+	}
+}
+
+func (m *moveState) placed(version string) {
+	if m.phase == Trial && version == m.version {
+		m.onTrial++
+	}
+}
+
+func (m *moveState) ended(c *call, e End, base time.Duration) {
+	if m.phase != Trial && m.phase != Final {
+		return
+	}
+	s := &m.oldStats
+	if c.up.spec.Version == m.version {
+		s = m.stats[c.ask.Route]
+		if s == nil {
+			s = &versionStats{}
+			m.stats[c.ask.Route] = s
+		}
+	}
+	s.add(c, e, base)
+}
+
+func (s *versionStats) add(c *call, e End, base time.Duration) {
+	switch e.Outcome {
+	case Success:
+		s.answers++
+	case Failure, Lost, Silent:
+		s.answers++
+		s.failures++
+	default:
+		return
+	}
+	pace := c.pace
+	if e.Load != nil {
+		pace = max(pace, e.Load.Pace)
+	}
+	if base <= 0 || c.crowded {
+		return
+	}
+	expected := float64(base) * pace
+	if c.cold {
+		expected *= coldSlowdown
+	}
+	s.slowSamples++
+	s.slowSum += float64(e.Latency) / expected
+}
+
+// judge returns why the new version is bad, or nothing.
+func (m *moveState) judge() string {
+	oldRate := ratio(float64(m.oldStats.failures), float64(m.oldStats.answers))
+	oldSlow := max(1, ratio(m.oldStats.slowSum, float64(m.oldStats.slowSamples)))
+	for route, s := range m.stats {
+		rate := ratio(float64(s.failures), float64(s.answers))
+		if s.failures >= badFailures && rate > 2*oldRate+badFailureShare {
+			return "failures on route " + route
+		}
+		if s.slowSamples >= minSlowSamples && s.slowSum/float64(s.slowSamples) > badSlowdown*oldSlow {
+			return "slow on route " + route
+		}
+	}
+	return ""
+}
+
+func ratio(a, b float64) float64 {
+	if b == 0 {
+		return 0
+	}
+	return a / b
+}
--- /dev/null
+++ b/internal/placement/pool.go
@@ -0,0 +1,451 @@
+package placement
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	// nearBonus is what a shorter way is worth when two upstreams are equally fast.
+	nearBonus = 4 * time.Millisecond
+	// nearBonusLarge holds for large responses, whose bytes between data centres are expensive.
+	nearBonusLarge = 40 * time.Millisecond
+	// serviceMargin is the part of the service time that is kept in reserve for variation.
+	serviceMargin = 1.15
+	// averageSlowdown is assumed of upstreams when the length of the queue is estimated.
+	averageSlowdown = 1.5
+	maxRetryAfter   = 2 * time.Second
+	maxWaiting      = 2048
+	serviceWeight   = 0.05
+	// maxTries bounds the attempts of requests that crash upstreams; see crashes.
+	maxCrashes  = 2
+	crashMemory = 60 * time.Second
+)
+
+// MinRetryAfter is the shortest time after which a refused request may find room.
+const MinRetryAfter = 50 * time.Millisecond
+
+// Pool holds the state of one service.
+type Pool struct {
+	spec    Spec
+	rng     *rand.Rand
+	ups     map[string]*upstream
+	order   []*upstream // by ID
+	calls   map[uint64]*call
+	waiting []*call
+	base    map[string]time.Duration // service time by route
+	budget  budget
+	move    moveState
+	crashes map[uint64]crash
+	out     Decisions
+}
+
+type crash struct {
+	upstreams []string
+	last      time.Time
+}
+
+// New returns an empty pool.
+func New(rng *rand.Rand) *Pool {
+	return &Pool{
+		rng: rng, ups: map[string]*upstream{}, calls: map[uint64]*call{}, base: map[string]time.Duration{}, crashes: map[uint64]crash{},
+	}
+}
+
+// Configure replaces the configuration. Upstreams that stay keep what was learned about them.
+func (p *Pool) Configure(now time.Time, spec Spec) Decisions {
+	p.begin()
+	p.spec = spec
+	seen := make(map[string]bool, len(spec.Upstreams))
+	for _, s := range spec.Upstreams {
+		seen[s.ID] = true
+		u := p.ups[s.ID]
+		switch {
+		case u == nil:
+			p.ups[s.ID] = newUpstream(now, s)
+		case u.spec.Born != s.Born || u.spec.Address != s.Address:
+			u.restart(now, s)
+		default:
+			u.spec = s
+		}
+	}
+	p.order = p.order[:0]
+	for id, u := range p.ups {
+		if !seen[id] {
+			u.spec.Closed = true
+			if len(u.running) == 0 {
+				delete(p.ups, id)
+				continue
+			}
+		}
+		p.order = append(p.order, u)
+	}
+	slices.SortFunc(p.order, func(a, b *upstream) int { return compareIDs(a.spec.ID, b.spec.ID) })
+	p.dispatch(now)
+	return p.out
+}
+
+func compareIDs(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+func (p *Pool) begin() {
+	p.out.Grants, p.out.Refusals = p.out.Grants[:0], p.out.Refusals[:0]
+}
+
+// Submit offers an ask: it is granted, waits, or is refused.
+func (p *Pool) Submit(now time.Time, a Ask) Decisions {
+	p.begin()
+	c := &call{ask: a, queuedAt: now}
+	p.budget.advance(now, p.spec.RetryWindow)
+	if a.Attempt <= 1 {
+		p.budget.requests[p.budget.current]++
+	} else if !p.budget.allow(&p.spec) {
+		return p.refuse(now, c, ReasonBudget)
+	}
+	if a.Fingerprint != 0 && len(p.crashes[a.Fingerprint].upstreams) >= maxCrashes {
+		return p.refuse(now, c, ReasonCrashes)
+	}
+	p.move.arrived(now)
+	if !p.anyFor(c) {
+		return p.refuse(now, c, ReasonNoUpstream)
+	}
+	base := p.serviceTime(c)
+	if now.Add(base).After(a.Deadline) {
+		return p.refuse(now, c, ReasonDeadline)
+	}
+	if u := p.best(now, c); u != nil && p.worthwhile(now, c, u) {
+		p.grant(now, c, u)
+		return p.out
+	}
+	if wait := p.expectedWait(c); len(p.waiting) >= maxWaiting || now.Add(wait+base).After(a.Deadline) {
+		return p.refuse(now, c, ReasonOverload)
+	}
+	p.waiting = append(p.waiting, c)
+	return p.out
+}
+
+// anyFor reports whether some upstream may run the call, now or later.
+func (p *Pool) anyFor(c *call) bool {
+	for _, u := range p.order {
+		if !u.spec.Closed && u.reachable && p.move.allows(u.spec.Version) && !slices.Contains(c.ask.Exclude, u.spec.ID) {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Pool) serviceTime(c *call) time.Duration {
+	if base := p.base[c.ask.Route]; base > 0 {
+		return base
+	}
+	return max(time.Millisecond, c.ask.Objective.Sub(c.queuedAt)/4)
+}
+
+// expectedWait is the time until the calls that go before c have left the queue.
+func (p *Pool) expectedWait(c *call) time.Duration {
+	var work time.Duration
+	for _, w := range p.waiting {
+		if w.ask.Priority <= c.ask.Priority {
+			work += p.serviceTime(w)
+		}
+	}
+	slots := 0
+	for _, u := range p.order {
+		if !u.spec.Closed && u.reachable {
+			slots += u.slots(p.spec.MaxInFlight)
+		}
+	}
+	return time.Duration(float64(work) * averageSlowdown / float64(max(1, slots)))
+}
+
+func (p *Pool) eligible(now time.Time, c *call, u *upstream) bool {
+	if !u.usable(now, p.spec.Unprobed) || !u.free(p.spec.MaxInFlight) || slices.Contains(c.ask.Exclude, u.spec.ID) {
+		return false
+	}
+	if !p.move.admits(u.spec.Version) {
+		return false
+	}
+	if u.cold(now) {
+		u.refillCold(now, p.spec.ColdPerSecond)
+		return u.coldTokens >= 1
+	}
+	return true
+}
+
+func (p *Pool) predict(now time.Time, c *call, u *upstream) time.Duration {
+	return time.Duration(float64(p.serviceTime(c)) * u.slowdown(now))
+}
+
+func (p *Pool) best(now time.Time, c *call) *upstream {
+	var best *upstream
+	least := time.Duration(math.MaxInt64)
+	for _, u := range p.order {
+		if !p.eligible(now, c, u) {
+			continue
+		}
+		cost := p.predict(now, c, u) + time.Duration(p.rng.Int64N(int64(time.Millisecond)))
+		if u.spec.Zone != c.ask.Zone {
+			if c.ask.Large {
+				cost += nearBonusLarge
+			} else {
+				cost += nearBonus
+			}
+		}
+		// An upstream with room to spare slows down less when other senders add to it.
+		cost += time.Duration(len(u.running)) * time.Millisecond
+		if cost < least {
+			best, least = u, cost
+		}
+	}
+	return best
+}
+
+// worthwhile reports whether the call should start on u now rather than wait for a faster upstream.
+func (p *Pool) worthwhile(now time.Time, c *call, u *upstream) bool {
+	predicted := p.predict(now, c, u)
+	if !now.Add(predicted).After(c.ask.Objective) {
+		return true
+	}
+	if p.onTimePossible(now, c) {
+		return false
+	}
+	return !now.Add(predicted).After(c.ask.Deadline)
+}
+
+// onTimePossible reports whether an upstream at its usual pace could still meet the objective.
+func (p *Pool) onTimePossible(now time.Time, c *call) bool {
+	need := time.Duration(float64(p.serviceTime(c)) * serviceMargin)
+	return !now.Add(need).After(c.ask.Objective)
+}
+
+func (p *Pool) grant(now time.Time, c *call, u *upstream) {
+	c.up, c.started, c.pace, c.cold = u, now, max(1, u.pace), u.cold(now)
+	c.predicted = p.predict(now, c, u)
+	if c.cold {
+		u.coldTokens--
+	}
+	if c.ask.Attempt > 1 {
+		p.budget.repeats[p.budget.current]++
+	}
+	u.running[c.ask.ID] = c
+	p.calls[c.ask.ID] = c
+	p.move.placed(u.spec.Version)
+	p.out.Grants = append(p.out.Grants, Grant{
+		Ask: c.ask.ID, Upstream: u.spec.ID, Address: u.spec.Address, Cold: c.cold, Pace: u.pace, PaceAge: ageOf(now, u.paceAt),
+		Waited: now.Sub(c.queuedAt), Running: len(u.running),
+	})
+}
+
+func ageOf(now, at time.Time) time.Duration {
+	if at.IsZero() {
+		return -1
+	}
+	return now.Sub(at)
+}
+
+func (p *Pool) refuse(now time.Time, c *call, reason Reason) Decisions {
+	after := max(MinRetryAfter, min(maxRetryAfter, p.expectedWait(c)))
+	if reason == ReasonCrashes {
+		after = maxRetryAfter
+	}
+	p.out.Refusals = append(p.out.Refusals, Refusal{Ask: c.ask.ID, Reason: reason, RetryAfter: after, Queued: len(p.waiting)})
+	return p.out
+}
+
+// Finish ends a granted ask, frees its slot and learns from the outcome. An unknown ID has no effect.
+func (p *Pool) Finish(now time.Time, e End) Decisions {
+	p.begin()
+	c := p.calls[e.Ask]
+	if c == nil {
+		return p.out
+	}
+	delete(p.calls, e.Ask)
+	delete(c.up.running, e.Ask)
+	if c.up.observeEnd(now, c, e, p.serviceTime(c)) {
+		p.learnServiceTime(c, e.Latency)
+	}
+	p.move.ended(c, e, p.serviceTime(c))
+	p.limitEjections(now)
+	p.noteCrash(now, c, e)
+	p.dispatch(now)
+	return p.out
+}
+
+func (p *Pool) learnServiceTime(c *call, latency time.Duration) {
+	base := p.base[c.ask.Route]
+	if base == 0 {
+		p.base[c.ask.Route] = latency
+		return
+	}
+	p.base[c.ask.Route] = base + time.Duration(serviceWeight*float64(latency-base))
+}
+
+// limitEjections lifts ejections when half of the upstreams are ejected: then the cause is elsewhere.
+func (p *Pool) limitEjections(now time.Time) {
+	ejected, open := 0, 0
+	for _, u := range p.order {
+		if u.spec.Closed || !u.reachable {
+			continue
+		}
+		open++
+		if now.Before(u.ejectedUntil) {
+			ejected++
+		}
+	}
+	if ejected*2 <= open {
+		return
+	}
+	for _, u := range p.order {
+		u.ejectedUntil = time.Time{}
+	}
+}
+
+func (p *Pool) noteCrash(now time.Time, c *call, e End) {
+	if c.ask.Fingerprint == 0 {
+		return
+	}
+	if e.Outcome == Success {
+		delete(p.crashes, c.ask.Fingerprint)
+		return
+	}
+	if e.Outcome != Lost {
+		return
+	}
+	known := p.crashes[c.ask.Fingerprint]
+	if !slices.Contains(known.upstreams, c.up.spec.ID) {
+		known.upstreams = append(known.upstreams, c.up.spec.ID)
+	}
+	known.last = now
+	p.crashes[c.ask.Fingerprint] = known
+}
+
+// Cancel drops an ask that waits, and reports whether it did. A granted one is ended by Finish.
+func (p *Pool) Cancel(ask uint64) bool {
+	before := len(p.waiting)
+	p.waiting = slices.DeleteFunc(p.waiting, func(c *call) bool { return c.ask.ID == ask })
+	return len(p.waiting) < before
+}
+
+// Probe records the result of a health probe.
+func (p *Pool) Probe(now time.Time, r Probe) Decisions {
+	p.begin()
+	u := p.ups[r.Upstream]
+	if u == nil {
+		return p.out
+	}
+	before := u.pace
+	wasUsable := u.usable(now, p.spec.Unprobed)
+	u.observeProbe(now, r)
+	if len(p.waiting) > 0 && (u.pace < before || !wasUsable) {
+		p.dispatch(now)
+	}
+	return p.out
+}
+
+// Tick refuses calls that have waited too long and places others. Call it about every 10 ms.
+func (p *Pool) Tick(now time.Time) Decisions {
+	p.begin()
+	p.expireCrashes(now)
+	p.dispatch(now)
+	return p.out
+}
+
+func (p *Pool) expireCrashes(now time.Time) {
+	for f, c := range p.crashes {
+		if now.Sub(c.last) > crashMemory {
+			delete(p.crashes, f)
+		}
+	}
+}
+
+// dispatch places waiting calls: those that can still meet their objective first, by priority and then by objective;
+// the others after them.
+func (p *Pool) dispatch(now time.Time) {
+	if len(p.waiting) == 0 {
+		return
+	}
+	p.expire(now)
+	slices.SortStableFunc(p.waiting, func(a, b *call) int { return p.compare(now, a, b) })
+	kept := p.waiting[:0]
+	for _, c := range p.waiting {
+		if u := p.best(now, c); u != nil && p.worthwhile(now, c, u) {
+			p.grant(now, c, u)
+			continue
+		}
+		kept = append(kept, c)
+	}
+	clear(p.waiting[len(kept):])
+	p.waiting = kept
+}
+
+func (p *Pool) compare(now time.Time, a, b *call) int {
+	aOnTime, bOnTime := p.onTimePossible(now, a), p.onTimePossible(now, b)
+	switch {
+	case aOnTime != bOnTime:
+		if aOnTime {
+			return -1
+		}
+		return 1
+	case a.ask.Priority != b.ask.Priority:
+		return a.ask.Priority - b.ask.Priority
+	}
+	return a.ask.Objective.Compare(b.ask.Objective)
+}
+
+func (p *Pool) expire(now time.Time) {
+	p.waiting = slices.DeleteFunc(p.waiting, func(c *call) bool {
+		if !p.anyFor(c) {
+			p.refuse(now, c, ReasonNoUpstream)
+			return true
+		}
+		if now.Add(p.serviceTime(c)).After(c.ask.Deadline) {
+			p.refuse(now, c, ReasonDeadline)
+			return true
+		}
+		return false
+	})
+}
+
+// Adopt counts a call that was granted by an earlier owner of the pool and is still running.
+func (p *Pool) Adopt(now time.Time, a Ask, upstreamID string) {
+	u := p.ups[upstreamID]
+	if u == nil || p.calls[a.ID] != nil {
+		return
+	}
+	c := &call{ask: a, up: u, started: now, queuedAt: now, pace: max(1, u.pace), crowded: true}
+	u.running[a.ID] = c
+	p.calls[a.ID] = c
+}
+
+// Status describes one upstream.
+type Status struct {
+	ID, Address, Zone, Version string
+	Slots, Running             int
+	Pace, Slowdown, Failures   float64
+	Usable, Cold, Closed       bool
+}
+
+// Upstreams returns the status of each upstream, ordered by ID.
+func (p *Pool) Upstreams(now time.Time) []Status {
+	out := make([]Status, 0, len(p.order))
+	for _, u := range p.order {
+		out = append(out, Status{
+			ID: u.spec.ID, Address: u.spec.Address, Zone: u.spec.Zone, Version: u.spec.Version, Slots: u.spec.Slots,
+			Running: len(u.running), Pace: u.pace, Slowdown: u.slowdown(now), Failures: u.failures,
+			Usable: u.usable(now, p.spec.Unprobed), Cold: u.cold(now), Closed: u.spec.Closed,
+		})
+	}
+	return out
+}
+
+// Waiting is the number of asks in the queue.
+func (p *Pool) Waiting() int { return len(p.waiting) }
--- /dev/null
+++ b/internal/placement/types.go
@@ -0,0 +1,124 @@
+package placement
+
+import "time"
+
+// UpstreamSpec describes one upstream.
+type UpstreamSpec struct {
+	ID, Address, Zone, Version string
+	Slots                      int
+	ColdLeft                   time.Duration // remaining cold start at the time of Configure
+	Born                       int64         // changes with each start of the process
+	Closed                     bool          // gets no new request: it leaves, or its data centre is taken out
+}
+
+// Spec is the configuration of a pool.
+type Spec struct {
+	Upstreams     []UpstreamSpec
+	ColdPerSecond float64 // requests per second that a cold upstream bears
+	RetryRatio    float64 // new attempts per request within RetryWindow, over all entries
+	RetryBurst    float64
+	RetryWindow   time.Duration
+	// Unprobed allows upstreams that were not probed yet. An entry that places by itself has no probes.
+	Unprobed bool
+	// MaxInFlight bounds the requests of an upstream below its slots; 0 means no further bound.
+	MaxInFlight int
+}
+
+// Ask is one attempt of a request that wants an upstream.
+type Ask struct {
+	ID          uint64
+	RequestID   string
+	Route       string
+	Zone        string // data centre of the entry that holds the request
+	Large       bool   // the response is large, so a near upstream is preferred
+	Priority    int    // 0 is the highest
+	Objective   time.Time
+	Deadline    time.Time
+	Attempt     int // 1 for the first
+	Exclude     []string
+	Fingerprint uint64 // of method, path and body; 0 when unknown
+}
+
+// Grant sends an ask to an upstream. The slot is held until Finish.
+type Grant struct {
+	Ask      uint64
+	Upstream string
+	Address  string
+	Cold     bool
+	Pace     float64       // 1 is the usual pace, 4 means that work takes four times as long
+	PaceAge  time.Duration // age of Pace
+	Waited   time.Duration
+	Running  int // requests of this pool on the upstream, with this one
+}
+
+// Reason says why an ask is refused.
+type Reason string
+
+// Reasons of refusals.
+const (
+	ReasonNoUpstream Reason = "no-upstream"  // no upstream of the service may be used
+	ReasonOverload   Reason = "overload"     // the queue is too long for the deadline
+	ReasonDeadline   Reason = "deadline"     // the remaining time is shorter than the service time
+	ReasonBudget     Reason = "retry-budget" // a new attempt beyond the budget
+	ReasonCrashes    Reason = "crashes"      // the request crashed several upstreams
+)
+
+// Refusal ends an ask that no upstream has seen.
+type Refusal struct {
+	Ask        uint64
+	Reason     Reason
+	RetryAfter time.Duration
+	Queued     int // asks that waited at the time
+}
+
+// Outcome says how an attempt ended.
+type Outcome uint8
+
+// Outcomes of attempts.
+const (
+	Success       Outcome = iota
+	Failure               // the upstream answered with an error of its own
+	NotRun                // the upstream says that it did not run the request
+	ConnectFailed         // no connection, no byte was sent
+	Lost                  // the connection was lost, or the response can't be read
+	Silent                // no response in time
+	Cancelled             // the caller left; says nothing about the upstream
+	Elsewhere             // another process has the address now
+)
+
+var outcomeNames = [...]string{"success", "failure", "not-run", "connect-failed", "lost", "silent", "cancelled", "elsewhere"}
+
+// String returns the outcome in words.
+func (o Outcome) String() string { return outcomeNames[o] }
+
+// Load is an upstream's report about itself.
+type Load struct {
+	Running int     `cbor:"1,keyasint"`
+	Waiting int     `cbor:"2,keyasint"`
+	Slots   int     `cbor:"3,keyasint"`
+	Pace    float64 `cbor:"4,keyasint"` // 1 is the usual pace; 0 when the report has none
+}
+
+// End is the end of a granted attempt.
+type End struct {
+	Ask     uint64
+	Outcome Outcome
+	Latency time.Duration // from the grant to the end of the response
+	Load    *Load
+}
+
+// Probe is the result of a health probe.
+type Probe struct {
+	Upstream string
+	Answered bool // false: no connection or no response
+	Healthy  bool
+	Other    bool // another process has the address
+	ColdLeft time.Duration
+	Load     *Load
+}
+
+// Decisions are the decisions of one call on a Pool, valid until the next call.
+type Decisions struct {
+	Grants   []Grant
+	Refusals []Refusal
+}
--- a/internal/telemetry/decisions.go
+++ b/internal/telemetry/decisions.go
@@ -29,6 +29,8 @@
 	Upstream  string
 	Outcome   string // such as forwarded, granted, queued, refused
 	Reason    string
+	// Inputs are key=value pairs that decided, with their age or version. They appear in full lines only.
+	Inputs string
 }
 
 // group is what decisions of equal outcome have in common.
@@ -158,6 +160,10 @@
 	line = appendPair(line, "customer", d.Customer)
 	line = appendPair(line, "upstream", d.Upstream)
 	line = appendPair(line, "reason", d.Reason)
+	if d.Inputs != "" {
+		line = append(line, ' ')
+		line = append(line, d.Inputs...)
+	}
 	return append(line, '\n')
 }
 
--- a/internal/transport/errors.go
+++ b/internal/transport/errors.go
@@ -96,6 +96,7 @@
 
 var (
 	errClosed      = errors.New("transport is closed")
+	errCrossed     = errors.New("the response belongs to another request")
 	errUndelimited = errors.New("response has neither a length nor chunks, so a truncation couldn't be detected")
 	errUpgrade     = errors.New("upstream switched protocols without being asked")
 	errSilent      = errors.New("no progress while other connections of the upstream progressed")
--- a/internal/transport/response.go
+++ b/internal/transport/response.go
@@ -15,6 +15,9 @@
 // maxInformational bounds the 1xx responses before a final one.
 const maxInformational = 5
 
+// maxSkippedBody bounds the body of a response to another request that is read past.
+const maxSkippedBody = 1 << 20
+
 // maxRefusalBody is the size up to which the body of a refusal is read to keep the connection.
 const maxRefusalBody = 4 << 10
 
@@ -33,7 +36,7 @@
 	} else {
 		resp.Body = &body{rc: resp.Body, x: x, reusable: x.reusable(resp)}
 	}
-	if resp.Header.Get(HeaderNotRun) == "true" {
+	if x.c.path.cfg.NotRun(resp) {
 		return nil, x.refused(out)
 	}
 	return out, nil
@@ -53,9 +56,16 @@
 		if resp.StatusCode < 200 {
 			continue
 		}
-		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody {
+		undelimited := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+		if undelimited && !x.c.path.cfg.AcceptUndelimited {
 			return nil, malformed{errUndelimited}
 		}
+		if !x.c.path.cfg.Belongs(resp, x.req) {
+			if err := x.skip(resp, undelimited); err != nil {
+				return nil, err
+			}
+			continue
+		}
 		return resp, nil
 	}
 	return nil, malformed{errors.New("too many informational responses")}
@@ -63,6 +73,18 @@
 
 type malformed struct{ error }
 
+// skip reads past a response to another request.
+func (x *exchange) skip(resp *http.Response, undelimited bool) error {
+	if undelimited || resp.Close {
+		return malformed{errCrossed}
+	}
+	x.c.headerMax = -1
+	if _, err := io.CopyN(io.Discard, resp.Body, maxSkippedBody+1); !errors.Is(err, io.EOF) {
+		return malformed{errors.Join(errCrossed, err)}
+	}
+	return nil
+}
+
 func loadReport(h http.Header) *LoadReport {
 	value := h.Get(HeaderLoad)
 	if value == "" {
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -20,6 +20,14 @@
 	SilentLimit       int           // silent connections after which the upstream's idle ones are retired, 3
 	MaxHeaderBytes    int64         // limit of a response's header, 64 KiB
 
+	// NotRun reports whether a response says that the upstream did not run the request. The default looks at HeaderNotRun.
+	NotRun func(*http.Response) bool
+	// Belongs reports whether a response belongs to the request. Others are skipped, because an upstream may answer an
+	// earlier request of the connection twice. The default accepts all.
+	Belongs func(*http.Response, *http.Request) bool
+	// AcceptUndelimited accepts responses that end with their connection.
+	AcceptUndelimited bool
+
 	// Dial opens a connection. The default is a net.Dialer with TCP keep-alive after 5 s.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -39,6 +47,12 @@
 	if c.Dial == nil {
 		c.Dial = (&net.Dialer{KeepAliveConfig: keepAlive}).DialContext
 	}
+	if c.NotRun == nil {
+		c.NotRun = func(r *http.Response) bool { return r.Header.Get(HeaderNotRun) == "true" }
+	}
+	if c.Belongs == nil {
+		c.Belongs = func(*http.Response, *http.Request) bool { return true }
+	}
 	if c.pathLost == nil {
 		c.pathLost = pathLost
 	}
