Let one of several leaders give way, found through their followers

Cause: entries that start together know few others, so three led side by side; a leader asked only the first in rank for rivals. Change: a leader also asks a random entry and the leaders that others name.

--- a/internal/coordinator/elect.go
+++ b/internal/coordinator/elect.go
@@ -192,13 +192,14 @@
 	return out
 }
 
-// watchRivals makes the leader with fewer followers give way, when two lead after a partition.
+// watchRivals makes the leader with fewer followers give way, when two lead after a partition or a start of all entries.
 func (l *leadership) watchRivals(ctx context.Context) {
 	n := l.node
 	for ctx.Err() == nil {
 		sleepFor(ctx, rivalInterval)
 		followers := len(l.currentFollowers())
-		for _, a := range askAll(ctx, n.candidates()) {
+		answers := askAll(ctx, append(n.candidates(), n.randomEntry()...))
+		for _, a := range append(answers, askAll(ctx, rivals(n.o.Self, answers))...) {
 			if !yields(n.o.Self, followers, a) {
 				continue
 			}
@@ -210,6 +211,32 @@
 	}
 }
 
+// rivals are the leaders that other entries follow, as far as they have not answered themselves.
+func rivals(self gateway.Entry, answers []LeaderAnswer) []string {
+	var out []string
+	for _, a := range answers {
+		if a.Leader == "" || a.Leader == self.Peer || slices.Contains(out, a.Leader) {
+			continue
+		}
+		if !slices.ContainsFunc(answers, func(b LeaderAnswer) bool { return b.Self.Peer == a.Leader }) {
+			out = append(out, a.Leader)
+		}
+	}
+	return out
+}
+
+// randomEntry is the peers' address of some other entry, so that a rival with few followers is found as well.
+func (n *Node) randomEntry() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, e := range n.world.Entries { // the order of a map is random
+		if e.Peer != n.o.Self.Peer {
+			return []string{e.Peer}
+		}
+	}
+	return nil
+}
+
 // yields reports whether a leader gives way to the one that answered.
 func yields(self gateway.Entry, followers int, a LeaderAnswer) bool {
 	if !a.Leads || a.Leaving || a.Self.Peer == self.Peer {
--- /dev/null
+++ b/internal/coordinator/elect_test.go
@@ -0,0 +1,63 @@
+package coordinator
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"boragehinge.example/boragehinge/internal/gateway"
+)
+
+func entryOf(name string, share float64) gateway.Entry {
+	return gateway.Entry{Name: name, Peer: name + ":1", CPUShare: share}
+}
+
+// Guards against two leaders when one already leads, and against no leader when none does.
+func TestChooseLeader(t *testing.T) {
+	big, small := entryOf("big", 0.8), entryOf("small", 0.2)
+	tests := []struct {
+		name    string
+		self    gateway.Entry
+		answers []LeaderAnswer
+		address string
+		leads   bool
+	}{
+		{"nobody answers", small, nil, "", true},
+		{"a leader is followed whatever its rank", big, []LeaderAnswer{{Self: small, Leads: true, Leader: small.Peer}}, small.Peer, false},
+		{"a leader that leaves is not followed", big, []LeaderAnswer{{Self: small, Leads: true, Leaving: true}}, "", true},
+		{"the leader of others is followed", small, []LeaderAnswer{{Self: big, Leader: "third:1"}}, "third:1", false},
+		{"the first in rank leads", big, []LeaderAnswer{{Self: small}}, "", true},
+		{"the others wait for it", small, []LeaderAnswer{{Self: big}}, "", false},
+		{"an entry that stops is not waited for", small, []LeaderAnswer{{Self: big, Leaving: true}}, "", true},
+		{"a word that this entry itself leads is out of date", small, []LeaderAnswer{{Self: big, Leader: small.Peer, Leaving: true}}, "", true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			address, leads := chooseLeader(test.self, test.answers)
+			assert.Equal(t, test.address, address)
+			assert.Equal(t, test.leads, leads)
+		})
+	}
+}
+
+// Guards against leaders that stay beside each other after all entries started at once: each of them knew few others, and
+// its rival was not among the entries that it asked (quiet-1 of hokusei-gw: three leaders, 75 probes a second and upstream).
+func TestRivalsAreFoundThroughTheirFollowers(t *testing.T) {
+	self, rival, third := entryOf("self", 0.3), entryOf("rival", 0.3), entryOf("third", 0.3)
+	answers := []LeaderAnswer{{Self: third, Leader: rival.Peer}, {Self: entryOf("fourth", 0.3), Leader: self.Peer}}
+	assert.Equal(t, []string{rival.Peer}, rivals(self, answers))
+	answers = append(answers, LeaderAnswer{Self: rival, Leads: true, Leader: rival.Peer})
+	assert.Empty(t, rivals(self, answers), "a rival that has answered is not asked again")
+}
+
+// Guards against both leaders giving way, or neither.
+func TestOneOfTwoLeadersYields(t *testing.T) {
+	a, b := entryOf("a", 0.3), entryOf("b", 0.3)
+	for _, followers := range [][2]int{{0, 0}, {3, 3}, {2, 9}, {9, 2}} {
+		aYields := yields(a, followers[0], LeaderAnswer{Self: b, Leads: true, Followers: followers[1]})
+		bYields := yields(b, followers[1], LeaderAnswer{Self: a, Leads: true, Followers: followers[0]})
+		assert.NotEqual(t, aYields, bYields, "followers %v", followers)
+	}
+	assert.False(t, yields(a, 0, LeaderAnswer{Self: b, Leads: true, Leaving: true, Followers: 5}), "a leader that stops is no rival")
+	assert.False(t, yields(a, 0, LeaderAnswer{Self: b, Followers: 5}), "a follower is no rival")
+}
