End hanging reads when the store is lost or back, and judge crashes, service times and versions by robust evidence

Cause: long polls hung on a silent store beyond configApply; requests of equal path and body were taken for one that crashes upstreams; the mean service time rose with slow upstreams until every request was refused as too late; a leader started a move again before it had read its status. Change: reads of orders end with an epoch that begins when the heartbeat reads fail or succeed again; a crash needs an upstream that can't be reached, and the fingerprint covers the caller; the service time follows the median; moves wait for the statuses; versions are judged by Chernoff bounds.

--- a/internal/coordinator/moves.go
+++ b/internal/coordinator/moves.go
@@ -40,6 +40,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.end = w.Ends[gateway.Statuses]
+	if !w.Known[gateway.Statuses] {
+		m.hold(w)
+		return
+	}
 	for service, move := range w.Moves {
 		m.takeOrder(now, w, service, move)
 	}
@@ -55,6 +59,13 @@
 	}
 }
 
+// hold keeps requests off the new versions while it isn't known whether a move has ended.
+func (m *mover) hold(w *gateway.World) {
+	for service, move := range w.Moves {
+		m.l.coordinator.WithPool(service, func(p *placement.Pool) { p.HoldMove(move.Version) })
+	}
+}
+
 func (m *mover) takeOrder(now time.Time, w *gateway.World, service string, move gateway.Move) {
 	offset := w.MoveOffset[service]
 	status, reported := w.Statuses[service]
--- a/internal/coordinator/relay.go
+++ b/internal/coordinator/relay.go
@@ -24,7 +24,7 @@
 	relayTries = 2
 	// directAgain is how long calls go through another entry before the store is called directly again.
 	directAgain  = 2 * time.Second
-	relayTimeout = 2500 * time.Millisecond
+	relayTimeout = 900 * time.Millisecond
 )
 
 // relayCall is a call to the store by way of another entry.
@@ -91,6 +91,9 @@
 			return err
 		}
 	}
+	if via == "" {
+		via = r.choose() // another call may have found a way meanwhile
+	}
 	peers := r.peers()
 	for i := 0; i < relayTries && len(peers) > 0 && ctx.Err() == nil; i++ {
 		if via == "" {
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -29,10 +30,11 @@
 	// shortest bound that counts from such a record.
 	heartbeatPause = 450 * time.Millisecond
 	// orderPause bounds the reads while operators write in quick succession.
-	orderPause   = 100 * time.Millisecond
-	upstreamWait = 800 * time.Millisecond
-	orderWait    = 5 * time.Second
-	retryPause   = 150 * time.Millisecond
+	orderPause = 100 * time.Millisecond
+	// upstreamWait is short, because these reads also show that the store is lost: heartbeats arrive all the time.
+	upstreamWait = 300 * time.Millisecond
+	orderWait    = 3 * time.Second
+	retryPause   = 100 * time.Millisecond
 	// lapseTime is how long after an outage missing records may still come back.
 	lapseTime = 2500 * time.Millisecond
 )
@@ -46,8 +48,16 @@
 	lastTrouble atomic.Int64 // nanoseconds on the clock of time.Since(start)
 	start       time.Time
 	healthy     atomic.Bool
+
+	mu    sync.Mutex
+	epoch context.Context
+	next  context.CancelFunc // begins another epoch
 }
 
+// errEpoch ends the reads that wait when the store was lost or has come back: they may hang on a connection that never
+// answers.
+var errEpoch = errors.New("the store's state has changed")
+
 // Healthy reports whether the last read of the upstreams' records succeeded.
 func (f *Feed) Healthy() bool { return f.healthy.Load() }
 
@@ -55,6 +65,7 @@
 func (f *Feed) Run(ctx context.Context) {
 	f.start = time.Now()
 	f.lastTrouble.Store(-int64(time.Hour))
+	f.beginEpoch(ctx)
 	done := make(chan struct{})
 	sources := []gateway.Source{gateway.Operators, gateway.Upstreams, gateway.Statuses, gateway.Entries}
 	for _, s := range sources {
@@ -71,7 +82,7 @@
 func (f *Feed) follow(ctx context.Context, source gateway.Source) {
 	position := int64(-1)
 	for ctx.Err() == nil {
-		batch, findings, err := f.next(ctx, source, position)
+		batch, findings, err := f.read(ctx, source, position)
 		for _, finding := range findings {
 			f.Log.Warn().Str("source", source.String()).Err(finding).Msg("record ignored")
 		}
@@ -79,10 +90,12 @@
 			return
 		}
 		if err != nil {
-			position = f.failed(ctx, source, position, err)
+			if !errors.Is(err, errEpoch) {
+				position = f.failed(ctx, source, position, err)
+			}
 			continue
 		}
-		f.succeeded(source)
+		f.succeeded(ctx, source)
 		position = batch.End
 		if batch.Snapshot || len(batch.Updates) > 0 {
 			f.Deliver(batch, f.disturbed())
@@ -95,15 +108,30 @@
 	}
 }
 
-func (f *Feed) next(ctx context.Context, source gateway.Source, position int64) (gateway.Batch, []error, error) {
+func (f *Feed) read(ctx context.Context, source gateway.Source, position int64) (gateway.Batch, []error, error) {
 	if position < 0 {
 		return f.Store.Newest(ctx, source)
 	}
-	wait := orderWait
 	if source == gateway.Upstreams {
-		wait = upstreamWait
+		return f.Store.Read(ctx, source, position, upstreamWait)
+	}
+	f.mu.Lock()
+	epoch := f.epoch
+	f.mu.Unlock()
+	batch, findings, err := f.Store.Read(epoch, source, position, orderWait)
+	if err != nil && epoch.Err() != nil {
+		err = errEpoch
+	}
+	return batch, findings, err
+}
+
+func (f *Feed) beginEpoch(ctx context.Context) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.next != nil {
+		f.next()
 	}
-	return f.Store.Read(ctx, source, position, wait)
+	f.epoch, f.next = context.WithCancel(ctx)
 }
 
 func (f *Feed) failed(ctx context.Context, source gateway.Source, position int64, err error) int64 {
@@ -114,14 +142,16 @@
 	f.lastTrouble.Store(int64(time.Since(f.start)))
 	if source == gateway.Upstreams && f.healthy.Swap(false) {
 		f.Log.Warn().Str("dependency", "store").Err(err).Msg("dependency lost")
+		f.beginEpoch(ctx)
 	}
 	sleep(ctx, retryPause)
 	return position
 }
 
-func (f *Feed) succeeded(source gateway.Source) {
+func (f *Feed) succeeded(ctx context.Context, source gateway.Source) {
 	if source == gateway.Upstreams && !f.healthy.Swap(true) {
 		f.Log.Info().Str("dependency", "store").Msg("dependency available")
+		f.beginEpoch(ctx)
 	}
 }
 
--- a/internal/gateway/world.go
+++ b/internal/gateway/world.go
@@ -124,6 +124,7 @@
 
 	offsets [sourceCount]map[string]int64
 	Ends    [sourceCount]int64
+	Known   [sourceCount]bool // a batch of the source was applied
 }
 
 // NewWorld returns a World that knows nothing.
@@ -151,6 +152,7 @@
 	if b.Snapshot {
 		w.dropMissing(now, b, disturbed)
 	}
+	w.Known[b.Source] = true
 	w.Ends[b.Source] = max(w.Ends[b.Source], b.End)
 	return changed
 }
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -31,11 +31,13 @@
 
 // conn is one connection of a caller. Its goroutine reads requests; each request runs in a goroutine of its own.
 type conn struct {
-	s   *Server
-	nc  net.Conn
-	in  *limitedReader
-	br  *bufio.Reader
-	ctx context.Context
+	s  *Server
+	nc net.Conn
+	in *limitedReader
+	br *bufio.Reader
+	// caller is the caller's IP address; its port changes with each connection.
+	caller string
+	ctx    context.Context
 	// cancel ends all requests of the connection, when the caller has left.
 	cancel context.CancelFunc
 
@@ -73,6 +75,7 @@
 func newConn(s *Server, nc net.Conn) *conn {
 	c := &conn{s: s, nc: nc, in: &limitedReader{nc: nc, left: -1}, slots: make(chan struct{}, maxPipelined), lastEnd: make(chan struct{})}
 	close(c.lastEnd)
+	c.caller, _, _ = net.SplitHostPort(nc.RemoteAddr().String())
 	c.br = bufio.NewReaderSize(c.in, readBuffer)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -108,13 +108,15 @@
 	x.objective = x.arrived.Add(x.route.Objective - answerMargin)
 	x.service = x.s.splits.choose(x.config.Version, x.route)
 	dropConnectionHeaders(x.req.Header)
-	x.print = fingerprint(x.req, x.body)
+	x.print = fingerprint(x.req, x.conn.caller, x.body)
 	return true
 }
 
-func fingerprint(req *http.Request, body []byte) uint64 {
+// fingerprint tells a request that comes again from others: by caller, method, path and body.
+func fingerprint(req *http.Request, caller string, body []byte) uint64 {
 	h := xxhash.New()
-	_, _ = h.WriteString(req.Method) // never fails
+	_, _ = h.WriteString(caller) // never fails
+	_, _ = h.WriteString(req.Method)
 	_, _ = h.WriteString(req.Host)
 	_, _ = h.WriteString(req.RequestURI)
 	_, _ = h.Write(body)
--- a/internal/placement/move.go
+++ b/internal/placement/move.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"boragehinge.example/boragehinge/internal/confidence"
+)
 
 // Bounds of a move to a new version.
 const (
@@ -11,11 +15,13 @@
 	finalPhase = 1300 * time.Millisecond
 	// drainBeforeCompletion is how long calls on the old version may still run; it ends at once on completion.
 	drainBeforeCompletion = 900 * time.Millisecond
-	minTrialAnswers       = 10
-	badFailures           = 3
-	badFailureShare       = 0.08
-	badSlowdown           = 1.9
-	minSlowSamples        = 8
+	// badSlowdown is the factor above the expected latency at which an answer counts as slow.
+	badSlowdown = 1.9
+	// doubt is the logarithm of one over the probability with which a bound of a share is wrong.
+	doubt = 6
+	// badFailureShare and badSlowShare are by how much a bad version is worse than twice the old one.
+	badFailureShare = 0.03
+	badSlowShare    = 0.2
 )
 
 // MovePhase says where a move stands.
@@ -36,9 +42,8 @@
 }
 
 type versionStats struct {
-	answers, failures int
-	slowSamples       int
-	slowSum           float64
+	answers, failures float64
+	timed, slow       float64 // answers whose latency can be judged, and those that took too long
 }
 
 type moveState struct {
@@ -64,6 +69,9 @@
 	p.move.phase = phase
 }
 
+// HoldMove keeps requests off a version until the state of its move is known.
+func (p *Pool) HoldMove(version string) { p.SettleMove(version, RolledBack) }
+
 // EndMove forgets the move.
 func (p *Pool) EndMove() { p.move = moveState{} }
 
@@ -163,16 +171,17 @@
 }
 
 func (s *versionStats) add(c *call, e End, base time.Duration) {
+	// A lost response says nothing about the version: connections are reset for other reasons too.
 	switch e.Outcome {
 	case Success:
 		s.answers++
-	case Failure, Lost, Silent:
+	case Failure:
 		s.answers++
 		s.failures++
 	default:
 		return
 	}
-	pace := c.pace
+	pace := max(1, c.pace)
 	if e.Load != nil {
 		pace = max(pace, e.Load.Pace)
 	}
@@ -183,22 +192,35 @@
 	if c.cold {
 		expected *= coldSlowdown
 	}
-	s.slowSamples++
-	s.slowSum += float64(e.Latency) / expected
+	s.timed++
+	if float64(e.Latency) > badSlowdown*expected {
+		s.slow++
+	}
 }
 
-// judge returns why the new version is bad, or nothing.
+// judge returns why the new version is bad, or nothing. It looks at each route and at all together.
 func (m *moveState) judge() string {
-	oldRate := ratio(float64(m.oldStats.failures), float64(m.oldStats.answers))
-	oldSlow := max(1, ratio(m.oldStats.slowSum, float64(m.oldStats.slowSamples)))
+	var all versionStats
 	for route, s := range m.stats {
-		rate := ratio(float64(s.failures), float64(s.answers))
-		if s.failures >= badFailures && rate > 2*oldRate+badFailureShare {
-			return "failures on route " + route
-		}
-		if s.slowSamples >= minSlowSamples && s.slowSum/float64(s.slowSamples) > badSlowdown*oldSlow {
-			return "slow on route " + route
+		if why := s.worseThan(&m.oldStats); why != "" {
+			return why + " on route " + route
 		}
+		all.answers += s.answers
+		all.failures += s.failures
+		all.timed += s.timed
+		all.slow += s.slow
+	}
+	return all.worseThan(&m.oldStats)
+}
+
+func (s *versionStats) worseThan(old *versionStats) string {
+	failed := confidence.Lower(s.failures, s.answers, doubt)
+	if failed > badFailureShare+2*ratio(old.failures, old.answers) {
+		return "failures"
+	}
+	slow := confidence.Lower(s.slow, s.timed, doubt)
+	if slow > badSlowShare+2*ratio(old.slow, old.timed) {
+		return "slow answers"
 	}
 	return ""
 }
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -18,10 +18,13 @@
 	averageSlowdown = 1.5
 	maxRetryAfter   = 2 * time.Second
 	maxWaiting      = 2048
-	serviceWeight   = 0.05
-	// maxTries bounds the attempts of requests that crash upstreams; see crashes.
-	maxCrashes  = 2
+	// serviceSteps is the number of steps in which the estimate of a service time doubles, about.
+	serviceSteps = 25
+	// maxCrashes is the number of upstreams that a request may crash before it is refused.
+	maxCrashes  = 3
 	crashMemory = 60 * time.Second
+	// suspectTime is how long after a lost connection an upstream that can't be reached counts as crashed by it.
+	suspectTime = 600 * time.Millisecond
 )
 
 // MinRetryAfter is the shortest time after which a refused request may find room.
@@ -280,13 +283,18 @@
 	return p.out
 }
 
+// learnServiceTime moves the estimate towards the median, which slow upstreams don't distort.
 func (p *Pool) learnServiceTime(c *call, latency time.Duration) {
 	base := p.base[c.ask.Route]
-	if base == 0 {
-		p.base[c.ask.Route] = latency
-		return
+	switch {
+	case base == 0:
+		base = latency
+	case latency > base:
+		base += base / serviceSteps
+	default:
+		base -= base / serviceSteps
 	}
-	p.base[c.ask.Route] = base + time.Duration(serviceWeight*float64(latency-base))
+	p.base[c.ask.Route] = base
 }
 
 // limitEjections lifts ejections when half of the upstreams are ejected: then the cause is elsewhere.
@@ -309,6 +317,7 @@
 	}
 }
 
+// noteCrash remembers a request whose connection was lost. It becomes a crash when the upstream can't be reached then.
 func (p *Pool) noteCrash(now time.Time, c *call, e End) {
 	if c.ask.Fingerprint == 0 {
 		return
@@ -320,12 +329,26 @@
 	if e.Outcome != Lost {
 		return
 	}
-	known := p.crashes[c.ask.Fingerprint]
-	if !slices.Contains(known.upstreams, c.up.spec.ID) {
-		known.upstreams = append(known.upstreams, c.up.spec.ID)
+	c.up.suspects = append(c.up.suspects, suspect{c.ask.Fingerprint, now})
+	if !c.up.reachable {
+		p.confirmCrashes(now, c.up)
 	}
-	known.last = now
-	p.crashes[c.ask.Fingerprint] = known
+}
+
+// confirmCrashes blames the crash of an upstream on the requests that it lost just before.
+func (p *Pool) confirmCrashes(now time.Time, u *upstream) {
+	for _, s := range u.suspects {
+		if now.Sub(s.at) > suspectTime {
+			continue
+		}
+		known := p.crashes[s.fingerprint]
+		if !slices.Contains(known.upstreams, u.spec.ID) {
+			known.upstreams = append(known.upstreams, u.spec.ID)
+		}
+		known.last = now
+		p.crashes[s.fingerprint] = known
+	}
+	u.suspects = u.suspects[:0]
 }
 
 // Cancel drops an ask that waits, and reports whether it did. A granted one is ended by Finish.
@@ -345,6 +368,11 @@
 	before := u.pace
 	wasUsable := u.usable(now, p.spec.Unprobed)
 	u.observeProbe(now, r)
+	if !r.Answered {
+		p.confirmCrashes(now, u)
+	} else if len(u.suspects) > 0 && now.Sub(u.suspects[len(u.suspects)-1].at) > suspectTime {
+		u.suspects = u.suspects[:0]
+	}
 	if len(p.waiting) > 0 && (u.pace < before || !wasUsable) {
 		p.dispatch(now)
 	}
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -68,6 +68,14 @@
 	ejections    int
 	fullUntil    time.Time
 	fullRun      int
+
+	suspects []suspect // requests whose connections were lost of late
+}
+
+// suspect is a request that may have crashed an upstream.
+type suspect struct {
+	fingerprint uint64
+	at          time.Time
 }
 
 func newUpstream(now time.Time, spec UpstreamSpec) *upstream {
--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"boragehinge.example/boragehinge/internal/confidence"
 )
 
 const (
@@ -123,12 +125,12 @@
 	if n <= 0 || oldN <= 0 || k/n <= factor*oldK/oldN+slack {
 		return false
 	}
-	low := lowerBound(k/spread, n/spread, logInverse)
-	return low > factor*upperBound(oldK/spread, oldN/spread, logInverse)+slack
+	low := confidence.Lower(k/spread, n/spread, logInverse)
+	return low > factor*confidence.Upper(oldK/spread, oldN/spread, logInverse)+slack
 }
 
 func (j *judge) compareCold(w *window, key cellKey, p *pair, logInverse float64) string {
-	low := lowerBound(p.new.failures, p.new.calls, logInverse)
+	low := confidence.Lower(p.new.failures, p.new.calls, logInverse)
 	if low <= coldFailures || w.seconds(key, isFailing) < failureSeconds {
 		return ""
 	}
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"boragehinge.example/boragehinge/internal/confidence"
 	"boragehinge.example/boragehinge/internal/configlog"
 	"boragehinge.example/boragehinge/internal/model"
 	"boragehinge.example/boragehinge/internal/wire"
@@ -80,10 +81,10 @@
 						k++
 					}
 				}
-				if lowerBound(float64(k), float64(n), math.Log(1/errorRate)) > p {
+				if confidence.Lower(float64(k), float64(n), math.Log(1/errorRate)) > p {
 					above++
 				}
-				if upperBound(float64(k), float64(n), math.Log(1/errorRate)) < p {
+				if confidence.Upper(float64(k), float64(n), math.Log(1/errorRate)) < p {
 					below++
 				}
 			}
@@ -91,8 +92,8 @@
 			require.LessOrEqual(t, float64(below)/trials, errorRate)
 		}
 	}
-	require.InDelta(t, 1, upperBound(0, 0, 1), 0)
-	require.InDelta(t, 0, lowerBound(0, 5, 1), 0)
+	require.InDelta(t, 1, confidence.Upper(0, 0, 1), 0)
+	require.InDelta(t, 0, confidence.Lower(0, 5, 1), 0)
 }
 
 // Guards against a stop that is forgotten, lifted by anything but a new name, or overruled by a step or a finish.
