Give a version on trial its share though it looks slow

Change: the trial share is placed on the new version whatever its predicted time; calls that are overdue count as slow; the final phase lasts at least 0.8 s. A new leader looks for rivals every 0.15 s for 2 s.

--- a/internal/coordinator/elect.go
+++ b/internal/coordinator/elect.go
@@ -196,7 +196,11 @@
 func (l *leadership) watchRivals(ctx context.Context) {
 	n := l.node
 	for ctx.Err() == nil {
-		sleepFor(ctx, rivalInterval)
+		interval := rivalInterval
+		if time.Since(l.since) < newLeaderTime {
+			interval = newLeaderInterval
+		}
+		sleepFor(ctx, interval)
 		followers := len(l.currentFollowers())
 		answers := askAll(ctx, append(n.candidates(), n.randomEntry()...))
 		for _, a := range append(answers, askAll(ctx, rivals(n.o.Self, answers))...) {
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -21,6 +21,9 @@
 	rosterInterval = 500 * time.Millisecond
 	// rivalInterval is how often a leader asks others whether they follow another one.
 	rivalInterval = time.Second
+	// newLeaderInterval holds while several entries may have begun to lead at once, for the time newLeaderTime.
+	newLeaderInterval = 150 * time.Millisecond
+	newLeaderTime     = 2 * time.Second
 )
 
 // leadership is the work of an entry while it leads.
@@ -32,6 +35,7 @@
 	relay       *relayStore
 	cancel      context.CancelFunc
 	moves       *mover
+	since       time.Time
 
 	mu        sync.Mutex
 	followers map[*follower]struct{}
@@ -94,7 +98,7 @@
 func newLeadership(n *Node, cancel context.CancelFunc) *leadership {
 	l := &leadership{
 		node: n, log: n.log, coordinator: NewCoordinator(n.o.Limits, false, n.log), cancel: cancel,
-		followers: map[*follower]struct{}{}, probes: map[string]*probeRun{}, named: map[string][]string{},
+		since: time.Now(), followers: map[*follower]struct{}{}, probes: map[string]*probeRun{}, named: map[string][]string{},
 	}
 	l.relay = &relayStore{direct: n.o.Store, peers: l.peerAddresses, log: n.log}
 	l.feed = &feed.Feed{Store: l.relay, Deliver: l.deliverBatch, Log: n.log}
--- a/internal/placement/move.go
+++ b/internal/placement/move.go
@@ -12,9 +12,11 @@
 	trialShare = 0.03
 	trialSlack = 12
 	// finalPhase is the time before the end of a move at which all traffic goes to the new version.
-	finalPhase = 1300 * time.Millisecond
+	finalPhase = 1500 * time.Millisecond
+	// minFinal is how long all traffic goes to the new version at least, so that one that is bad under load shows it.
+	minFinal = 800 * time.Millisecond
 	// drainBeforeCompletion is how long calls on the old version may still run; it ends at once on completion.
-	drainBeforeCompletion = 900 * time.Millisecond
+	drainBeforeCompletion = 1100 * time.Millisecond
 	// badSlowdown is the factor above the expected latency at which an answer counts as slow.
 	badSlowdown = 1.9
 	// doubt is the logarithm of one over the probability with which a bound of a share is wrong.
@@ -50,6 +52,7 @@
 	version        string
 	phase          MovePhase
 	deadline       time.Time
+	finalSince     time.Time
 	total, onTrial float64
 	stats          map[string]*versionStats // by route, of the new version
 	oldStats       versionStats
@@ -85,7 +88,7 @@
 	if m.phase != Trial && m.phase != Final {
 		return m.phase, "", false
 	}
-	if bad := m.judge(); bad != "" {
+	if bad := m.judge(p.overdue(now)); bad != "" {
 		m.phase = RolledBack
 		return m.phase, bad, true
 	}
@@ -94,10 +97,11 @@
 			return m.phase, "", false
 		}
 		m.phase = Final
+		m.finalSince = now
 		m.deadline = now.Add(drainBeforeCompletion)
 		return m.phase, "the trial is over", true
 	}
-	if m.phase == Final && (p.runningOnOther(m.version) == 0 || now.After(m.deadline)) {
+	if m.phase == Final && now.Sub(m.finalSince) >= minFinal && (p.runningOnOther(m.version) == 0 || now.After(m.deadline)) {
 		m.phase = Done
 		return m.phase, "the old version has finished its calls", true
 	}
@@ -113,6 +117,17 @@
 	return false
 }
 
+// overdue counts the calls on the new version that have taken too long already.
+func (p *Pool) overdue(now time.Time) float64 {
+	n := 0.0
+	for _, c := range p.calls {
+		if c.up.spec.Version == p.move.version && !c.crowded && float64(now.Sub(c.started)) > badSlowdown*expectedLatency(c, p.serviceTime(c)) {
+			n++
+		}
+	}
+	return n
+}
+
 func (p *Pool) runningOnOther(version string) int {
 	n := 0
 	for _, u := range p.order {
@@ -143,6 +158,9 @@
 	return m.allows(version)
 }
 
+// wantsSample reports whether the version on trial should get the next request.
+func (m *moveState) wantsSample() bool { return m.phase == Trial && m.admits(m.version) }
+
 func (m *moveState) arrived(time.Time) {
 	if m.phase == Trial {
 		m.total++
@@ -181,16 +199,12 @@
 	default:
 		return
 	}
-	pace := max(1, c.pace)
-	if e.Load != nil {
-		pace = max(pace, e.Load.Pace)
-	}
 	if base <= 0 || c.crowded {
 		return
 	}
-	expected := float64(base) * pace
-	if c.cold {
-		expected *= coldSlowdown
+	expected := expectedLatency(c, base)
+	if e.Load != nil {
+		expected *= max(1, e.Load.Pace/max(1, c.pace))
 	}
 	s.timed++
 	if float64(e.Latency) > badSlowdown*expected {
@@ -198,9 +212,19 @@
 	}
 }
 
-// judge returns why the new version is bad, or nothing. It looks at each route and at all together.
-func (m *moveState) judge() string {
-	var all versionStats
+// expectedLatency is the latency of a call on a version that is as fast as the others.
+func expectedLatency(c *call, base time.Duration) float64 {
+	expected := float64(base) * max(1, c.pace)
+	if c.cold {
+		expected *= coldSlowdown
+	}
+	return expected
+}
+
+// judge returns why the new version is bad, or nothing. It looks at each route and at all together, with the calls that
+// are overdue.
+func (m *moveState) judge(overdue float64) string {
+	all := versionStats{timed: overdue, slow: overdue}
 	for route, s := range m.stats {
 		if why := s.worseThan(&m.oldStats); why != "" {
 			return why + " on route " + route
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -125,7 +125,7 @@
 	if now.Add(base).After(a.Deadline) {
 		return p.refuse(now, c, ReasonDeadline)
 	}
-	if u := p.best(now, c); u != nil && p.worthwhile(now, c, u) {
+	if u := p.choose(now, c); u != nil {
 		p.grant(now, c, u)
 		return p.out
 	}
@@ -188,11 +188,27 @@
 	return time.Duration(float64(p.serviceTime(c)) * u.slowdown(now))
 }
 
-func (p *Pool) best(now time.Time, c *call) *upstream {
+// choose returns the upstream that the call starts on now, or nil when it should wait.
+func (p *Pool) choose(now time.Time, c *call) *upstream {
+	if p.move.wantsSample() {
+		// A version on trial gets its share also when it looks slow, because only its answers tell whether it is.
+		if u := p.best(now, c, p.move.version); u != nil {
+			return u
+		}
+	}
+	u := p.best(now, c, "")
+	if u == nil || !p.worthwhile(now, c, u) {
+		return nil
+	}
+	return u
+}
+
+// best returns the upstream with the earliest predicted end, of one version unless that is empty.
+func (p *Pool) best(now time.Time, c *call, version string) *upstream {
 	var best *upstream
 	least := time.Duration(math.MaxInt64)
 	for _, u := range p.order {
-		if !p.eligible(now, c, u) {
+		if version != "" && u.spec.Version != version || !p.eligible(now, c, u) {
 			continue
 		}
 		cost := p.predict(now, c, u) + time.Duration(p.rng.Int64N(int64(time.Millisecond)))
@@ -405,7 +421,7 @@
 	slices.SortStableFunc(p.waiting, func(a, b *call) int { return p.compare(now, a, b) })
 	kept := p.waiting[:0]
 	for _, c := range p.waiting {
-		if u := p.best(now, c); u != nil && p.worthwhile(now, c, u) {
+		if u := p.choose(now, c); u != nil {
 			p.grant(now, c, u)
 			continue
 		}
