Probe within a budget, name entries by capacity, and let pace figures age

Cause: on the grown site the leader probed 300 upstreams 25 times a second and answered 200 ms late; callers were sent to entries with 0.16 of a core; old pace figures counted like new ones. Change: the probe interval follows the leader's processor; entries are named by their share and the load of late; a pace figure turns into the average as it ages.

--- a/cmd/boragehinge-entry/run.go
+++ b/cmd/boragehinge-entry/run.go
@@ -83,7 +83,9 @@
 	e := &entry{
 		settings: s, log: log, decisions: telemetry.NewDecisionLog(os.Stdout, f.decisionLines), registry: prometheus.NewRegistry(),
 	}
-	prober := &probe.Prober{Headers: platform.ProbeHeaders(), Interval: f.probeInterval}
+	prober := &probe.Prober{
+		Headers: platform.ProbeHeaders(), Interval: func() time.Duration { return e.node.ProbeInterval(f.probeInterval) },
+	}
 	e.node = coordinator.NewNode(coordinator.Options{
 		Self: gateway.Entry{
 			Name: s.Node, Zone: s.Zone, Callers: s.Listen.Callers, Peer: s.Listen.Peers, CPUShare: s.Limits.CPUShare,
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -36,6 +36,7 @@
 	cancel      context.CancelFunc
 	moves       *mover
 	since       time.Time
+	rate        rateMeter
 
 	mu        sync.Mutex
 	followers map[*follower]struct{}
@@ -190,6 +191,7 @@
 }
 
 func (l *leadership) startProbe(target ProbeTarget, service string) {
+	l.node.probed.Store(int64(len(l.probes) + 1))
 	ctx, cancel := context.WithCancel(context.Background())
 	l.probes[target.ID] = &probeRun{target: target, cancel: cancel}
 	go l.node.o.Probe(ctx, target, func(p placement.Probe) { l.coordinator.Probe(time.Now(), service, p) })
--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -60,6 +60,7 @@
 	running  map[*handle]struct{}
 
 	config atomic.Pointer[gateway.Config]
+	probed atomic.Int64 // upstreams that this entry probes while it leads
 	nextID atomic.Uint64
 }
 
@@ -73,6 +74,16 @@
 	return n
 }
 
+// probesPerCore is the rate of probes that the leader affords for each core. A probe costs about 60 µs, so probes take a
+// seventh of its processor.
+const probesPerCore = 2600
+
+// ProbeInterval is the time between two probes of an upstream: least, or longer where the upstreams are many.
+func (n *Node) ProbeInterval(least time.Duration) time.Duration {
+	perSecond := max(1, probesPerCore*n.o.Self.CPUShare)
+	return max(least, time.Duration(float64(n.probed.Load())/perSecond*float64(time.Second)))
+}
+
 // Config is the newest configuration, or nil when none is known.
 func (n *Node) Config() *gateway.Config { return n.config.Load() }
 
--- a/internal/coordinator/roster.go
+++ b/internal/coordinator/roster.go
@@ -1,17 +1,29 @@
 package coordinator
 
 import (
+	"cmp"
 	"hash/fnv"
 	"maps"
 	"slices"
+	"sync"
 	"time"
 
 	"boragehinge.example/boragehinge/internal/gateway"
 )
 
-// namedPerZone is the number of entries of each data centre that callers are sent to. Two keep a data centre served when
-// one is lost, and few keep connections to upstreams warm.
-const namedPerZone = 2
+const (
+	// namedPerZone is the least number of entries of each data centre that callers are sent to. Two keep a data centre
+	// served when one is lost, and few keep connections to upstreams warm.
+	namedPerZone = 2
+	// requestCost is the processor time of one request at the entry that callers connect to, in seconds.
+	requestCost = 0.0007
+	// namedHeadroom is the capacity of the named entries relative to the load of late, for bursts and lost entries.
+	namedHeadroom = 2.5
+	// leaderShare is the part of the leader's processor that is left for callers.
+	leaderShare = 0.5
+	// rateMemory is the time after which a higher rate of requests is forgotten.
+	rateMemory = 10 * time.Second
+)
 
 // precedes orders entries for leadership and naming: the larger host first, then by a hash that spreads data centres.
 func precedes(a, b gateway.Entry) int {
@@ -39,29 +51,63 @@
 
 // publishRoster decides which entries callers are sent to, and tells all entries.
 func (l *leadership) publishRoster(now time.Time) {
-	roster := &Roster{Leader: l.node.o.Self.Peer, Callers: l.chooseNamed()}
+	roster := &Roster{Leader: l.node.o.Self.Peer, Callers: l.chooseNamed(l.rate.observe(now, l.coordinator.Served()))}
 	l.node.setRoster(roster)
 	l.broadcast(func(f *Frame) { f.Roster = roster })
-	_ = now
 }
 
-// chooseNamed keeps entries that are named and live, and fills up by rank. The leader is named only where others lack.
-func (l *leadership) chooseNamed() map[string][]string {
-	byZone := map[string][]gateway.Entry{}
+// rateMeter measures the requests per second and remembers the highest of late.
+type rateMeter struct {
+	mu     sync.Mutex
+	at     time.Time
+	count  uint64
+	peak   float64
+	peakAt time.Time
+}
+
+const minRateSpan = 400 * time.Millisecond
+
+func (r *rateMeter) observe(now time.Time, count uint64) float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.at.IsZero() {
+		r.at, r.count = now, count
+		return 0
+	}
+	span := now.Sub(r.at)
+	if span < minRateSpan {
+		return r.peak
+	}
+	rate := float64(count-r.count) / span.Seconds()
+	r.at, r.count = now, count
+	if rate >= r.peak || now.Sub(r.peakAt) > rateMemory {
+		r.peak, r.peakAt = rate, now
+	}
+	return r.peak
+}
+
+// candidate is an entry with the part of its processor that is left for callers.
+type candidate struct {
+	entry gateway.Entry
+	share float64
+}
+
+// chooseNamed names entries in each data centre for a load of rate requests per second.
+func (l *leadership) chooseNamed(rate float64) map[string][]string {
+	byZone := map[string][]candidate{}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for f := range l.followers {
 		if !f.hello.Leaving {
-			byZone[f.entry.Zone] = append(byZone[f.entry.Zone], f.entry)
+			byZone[f.entry.Zone] = append(byZone[f.entry.Zone], candidate{f.entry, f.entry.CPUShare})
 		}
 	}
-	self := l.node.o.Self
-	if len(byZone[self.Zone]) == 0 && !l.stopping {
-		byZone[self.Zone] = append(byZone[self.Zone], self)
+	if self := l.node.o.Self; !l.stopping {
+		byZone[self.Zone] = append(byZone[self.Zone], candidate{self, self.CPUShare * leaderShare})
 	}
+	need := rate * requestCost * namedHeadroom / float64(max(1, len(byZone)))
 	for zone, entries := range byZone {
-		slices.SortFunc(entries, precedes)
-		l.named[zone] = fillNamed(l.named[zone], entries)
+		l.named[zone] = nameEntries(l.named[zone], entries, need)
 	}
 	for zone := range l.named {
 		if len(byZone[zone]) == 0 {
@@ -71,20 +117,29 @@
 	return maps.Clone(l.named)
 }
 
-func fillNamed(named []string, live []gateway.Entry) []string {
-	out := make([]string, 0, namedPerZone)
-	for _, address := range named {
-		if slices.ContainsFunc(live, func(e gateway.Entry) bool { return e.Callers == address }) {
-			out = append(out, address)
+// nameEntries names the strongest entries, and those named before among equals. Callers spread evenly, so the weakest of n
+// entries bounds what they carry to n times its share; n rises until that is enough.
+func nameEntries(named []string, live []candidate, need float64) []string {
+	slices.SortFunc(live, func(a, b candidate) int {
+		if a.share != b.share {
+			return cmp.Compare(b.share, a.share)
 		}
-	}
-	for _, e := range live {
-		if len(out) >= namedPerZone {
-			break
-		}
-		if !slices.Contains(out, e.Callers) {
-			out = append(out, e.Callers)
+		aNamed, bNamed := slices.Contains(named, a.entry.Callers), slices.Contains(named, b.entry.Callers)
+		switch {
+		case aNamed && !bNamed:
+			return -1
+		case bNamed && !aNamed:
+			return 1
 		}
+		return precedes(a.entry, b.entry)
+	})
+	n := min(namedPerZone, len(live))
+	for n < len(live) && float64(n)*live[n-1].share < need {
+		n++
+	}
+	out := make([]string, 0, n)
+	for _, c := range live[:n] {
+		out = append(out, c.entry.Callers)
 	}
 	return out
 }
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -15,6 +15,8 @@
 	// serviceMargin is the part of the service time that is kept in reserve for variation.
 	serviceMargin = 1.15
 	maxRetryAfter = 2 * time.Second
+	// paceWeight makes the average follow the last few hundred reports.
+	paceWeight = 0.005
 	// serviceSteps is the number of steps in which the estimate of a service time doubles, about.
 	serviceSteps = 25
 	// maxCrashes is the number of upstreams that a request may crash before it is refused.
@@ -40,7 +42,9 @@
 	budget  budget
 	move    moveState
 	crashes map[uint64]crash
-	out     Decisions
+	// averagePace is the moving average of the pace that upstreams report in probes.
+	averagePace float64
+	out         Decisions
 }
 
 type crash struct {
@@ -52,6 +56,7 @@
 func New(rng *rand.Rand) *Pool {
 	return &Pool{
 		rng: rng, ups: map[string]*upstream{}, calls: map[uint64]*call{}, base: map[string]time.Duration{}, crashes: map[uint64]crash{},
+		averagePace: 1,
 	}
 }
 
@@ -166,7 +171,7 @@
 }
 
 func (p *Pool) predict(now time.Time, c *call, u *upstream) time.Duration {
-	return time.Duration(float64(p.serviceTime(c)) * u.slowdown(now))
+	return time.Duration(float64(p.serviceTime(c)) * u.slowdown(now, p.averagePace))
 }
 
 // choose returns the upstream that the call starts on now, or nil when it should wait.
@@ -363,6 +368,9 @@
 	before := u.pace
 	wasUsable := u.usable(now, p.spec.Unprobed)
 	u.observeProbe(now, r)
+	if r.Load != nil && r.Load.Pace > 0 {
+		p.averagePace += paceWeight * (r.Load.Pace - p.averagePace)
+	}
 	if !r.Answered {
 		p.confirmCrashes(now, u)
 	} else if len(u.suspects) > 0 && now.Sub(u.suspects[len(u.suspects)-1].at) > suspectTime {
@@ -416,7 +424,7 @@
 	for _, u := range p.order {
 		out = append(out, Status{
 			ID: u.spec.ID, Address: u.spec.Address, Zone: u.spec.Zone, Version: u.spec.Version, Slots: u.spec.Slots,
-			Running: len(u.running), Pace: u.pace, Slowdown: u.slowdown(now), Failures: u.failures,
+			Running: len(u.running), Pace: u.pace, Slowdown: u.slowdown(now, p.averagePace), Failures: u.failures,
 			Usable: u.usable(now, p.spec.Unprobed), Cold: u.cold(now), Closed: u.spec.Closed,
 		})
 	}
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -140,7 +140,7 @@
 		if !u.free(p.spec.MaxInFlight) || !u.usable(now, p.spec.Unprobed) || !p.move.admits(u.spec.Version) {
 			continue
 		}
-		if s := u.slowdown(now); !free || s < slowdown {
+		if s := u.slowdown(now, p.averagePace); !free || s < slowdown {
 			slowdown, free = s, true
 		}
 	}
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -8,6 +8,10 @@
 const (
 	// kneeShare is the occupancy above which upstreams slow down; a request beyond it costs more than it adds.
 	kneeShare = 0.8
+	// paceFresh is the age up to which a reported pace counts in full, and paceMemory the time in which it then loses most
+	// of its weight: neighbours disturb an upstream for some hundred milliseconds at a time.
+	paceFresh  = 50 * time.Millisecond
+	paceMemory = 300 * time.Millisecond
 	// coldSlowdown is how much longer work takes during cold start.
 	coldSlowdown = 2.0
 	// maxSlowdown bounds the slowdown learned from latencies.
@@ -120,15 +124,21 @@
 	return len(u.running)+u.external < u.slots(maxInFlight)
 }
 
-// slowdown is the factor by which work takes longer than usual at present.
-func (u *upstream) slowdown(now time.Time) float64 {
+// currentPace is the pace to expect: the last report, or more and more the average of all upstreams as it ages.
+func (u *upstream) currentPace(now time.Time, average float64) float64 {
+	fresh := math.Exp(-max(0, float64(now.Sub(u.paceAt)-paceFresh)) / float64(paceMemory))
+	return max(1, u.pace*fresh+average*(1-fresh))
+}
+
+// slowdown is the factor by which work takes longer than usual at present. average is the pace of all upstreams.
+func (u *upstream) slowdown(now time.Time, average float64) float64 {
 	slow := 1 + (u.slow-1)*math.Exp2(-float64(now.Sub(u.slowAt))/float64(slowMemory))
 	for _, c := range u.running {
 		if elapsed := now.Sub(c.started); c.predicted > 0 && elapsed > 2*c.predicted {
 			slow = max(slow, float64(elapsed)/float64(c.predicted))
 		}
 	}
-	factor := max(1, u.pace) * min(slow, maxSlowdown)
+	factor := u.currentPace(now, average) * min(slow, maxSlowdown)
 	if u.cold(now) {
 		factor *= coldSlowdown
 	}
--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -31,10 +31,11 @@
 	ParseLoad                func(string) *placement.Load
 }
 
-// Prober probes upstreams at a fixed interval.
+// Prober probes upstreams.
 type Prober struct {
-	Headers  Headers
-	Interval time.Duration
+	Headers Headers
+	// Interval returns the time between two probes of an upstream. It is asked before each pause.
+	Interval func() time.Duration
 }
 
 // Run probes one upstream until ctx ends and reports each result.
@@ -46,7 +47,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		pause := p.Interval
+		pause := p.Interval()
 		if err != nil {
 			r.close()
 			// A kept connection may have been closed or forgotten, so only a new one shows that the upstream is gone.
