Change the way to the store for all reads at once

Change: only heartbeat reads test the direct way; a change of the way restarts the other reads; a read goes through three entries at once.

--- a/cmd/boragehinge-entry/run.go
+++ b/cmd/boragehinge-entry/run.go
@@ -79,12 +79,12 @@
 }
 
 func newEntry(s *platform.Settings, f *flags, log zerolog.Logger) *entry {
-	names := platform.RequestNames()
+	names := platform.Names()
 	e := &entry{
 		settings: s, log: log, decisions: telemetry.NewDecisionLog(os.Stdout, f.decisionLines), registry: prometheus.NewRegistry(),
 	}
 	prober := &probe.Prober{
-		Headers: platform.ProbeHeaders(), Interval: func() time.Duration { return e.node.ProbeInterval(f.probeInterval) },
+		Headers: names, Interval: func() time.Duration { return e.node.ProbeInterval(f.probeInterval) },
 	}
 	e.node = coordinator.NewNode(coordinator.Options{
 		Self: gateway.Entry{
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -103,6 +103,7 @@
 	}
 	l.relay = &relayStore{direct: n.o.Store, peers: l.peerAddresses, log: n.log}
 	l.feed = &feed.Feed{Store: l.relay, Deliver: l.deliverBatch, Log: n.log}
+	l.relay.switched = l.feed.Restart
 	l.moves = newMover(l)
 	return l
 }
--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -223,9 +222,6 @@
 	return n.session
 }
 
-// errNoPeer means that no entry answered.
-var errNoPeer = errors.New("no other entry answered")
-
 func sleepFor(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/internal/coordinator/relay.go
+++ b/internal/coordinator/relay.go
@@ -6,7 +6,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -20,11 +22,11 @@
 
 const (
 	relayPath = "/v1/store/"
-	// relayTries bounds the other entries through which one call is tried.
-	relayTries = 2
+	// relayTries bounds the other entries through which one read is tried at once. The store may turn a third of them away.
+	relayTries = 3
 	// directAgain is how long calls go through another entry before the store is called directly again.
 	directAgain  = 2 * time.Second
-	relayTimeout = 900 * time.Millisecond
+	relayTimeout = 800 * time.Millisecond
 )
 
 // relayCall is a call to the store by way of another entry.
@@ -44,16 +46,18 @@
 	"not-done": gateway.ErrNotDone, "unknown": gateway.ErrUnknown, "conflict": gateway.ErrConflict, "expired": gateway.ErrExpired,
 }
 
-// relayStore calls the store, and goes through other entries while the store turns this one away.
+// relayStore calls the store, and goes through other entries while the store turns this one away. Reads of the upstreams'
+// heartbeats, which are frequent and short, find out when the store is lost and when it can be called directly again.
 type relayStore struct {
 	direct Store
 	peers  func() []string
-	log    zerolog.Logger
+	// switched is called when the way to the store changes, because other calls may hang on the old one.
+	switched func()
+	log      zerolog.Logger
 
-	mu         sync.Mutex
-	via        string // entry that calls go through; empty: direct
-	retryAt    time.Time
-	nextChoice int
+	mu     sync.Mutex
+	via    string // entry that calls go through; empty: direct
+	testAt time.Time
 }
 
 // Newest implements feed.Store.
@@ -82,68 +86,121 @@
 	})
 }
 
-// try calls directly or through another entry, whichever worked last, and then through others.
+// try calls directly or through another entry, whichever works at present, and then through others.
 func (r *relayStore) try(ctx context.Context, call relayCall, b *gateway.Batch, direct func() error) error {
-	via := r.choose()
+	via, useDirect := r.way(call.Source)
 	var err error
-	if via == "" {
-		if err = direct(); !unavailable(err) || (call.Status != nil && errors.Is(err, gateway.ErrUnknown)) {
+	if useDirect {
+		err = direct()
+		if !unavailable(err) {
+			r.restore()
 			return err
 		}
-	}
-	if via == "" {
-		via = r.choose() // another call may have found a way meanwhile
-	}
-	peers := r.peers()
-	for i := 0; i < relayTries && len(peers) > 0 && ctx.Err() == nil; i++ {
-		if via == "" {
-			via = peers[r.rotate()%len(peers)]
-		}
-		var relayErr error
-		*b, relayErr = callRelay(ctx, via, call)
-		if !unavailable(relayErr) {
-			r.use(via)
-			return relayErr
+		if call.Status != nil && errors.Is(err, gateway.ErrUnknown) || ctx.Err() != nil {
+			return err
 		}
-		err = errors.Join(err, relayErr)
-		via = ""
 	}
-	r.use("")
-	return err
+	batch, relayErr := r.askPeers(ctx, via, call)
+	if unavailable(relayErr) {
+		return errors.Join(err, relayErr)
+	}
+	*b = batch
+	return relayErr
 }
 
 func unavailable(err error) bool {
 	return errors.Is(err, gateway.ErrNotDone) || errors.Is(err, gateway.ErrUnknown)
 }
 
-func (r *relayStore) choose() string {
+// way returns the entry that calls go through, if any, and whether this call goes to the store directly.
+func (r *relayStore) way(source gateway.Source) (via string, useDirect bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.via != "" && time.Now().After(r.retryAt) {
-		r.via = ""
+	if r.via == "" {
+		return "", true
+	}
+	if source != gateway.Upstreams || time.Now().Before(r.testAt) {
+		return r.via, false
 	}
-	return r.via
+	r.testAt = time.Now().Add(directAgain)
+	return r.via, true
 }
 
-func (r *relayStore) rotate() int {
+// restore notes that the store answers directly.
+func (r *relayStore) restore() {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.nextChoice++
-	return r.nextChoice
+	was := r.via
+	r.via = ""
+	r.mu.Unlock()
+	if was != "" {
+		r.log.Info().Str("dependency", "store").Msg("store is reached directly again")
+		r.switched()
+	}
 }
 
-func (r *relayStore) use(via string) {
+// divert notes that the store is reached through another entry.
+func (r *relayStore) divert(via string) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.via == via {
-		return
+	was := r.via
+	r.via = via
+	if was == "" {
+		r.testAt = time.Now().Add(directAgain)
 	}
-	r.via, r.retryAt = via, time.Now().Add(directAgain)
-	if via != "" {
+	r.mu.Unlock()
+	if was != via {
 		r.log.Info().Str("dependency", "store").Str("via", via).Msg("store is reached through another entry")
+		r.switched()
 	}
 }
 
+// askPeers calls through via, and through some others at once when that fails. A write goes through one entry only.
+func (r *relayStore) askPeers(ctx context.Context, via string, call relayCall) (gateway.Batch, error) {
+	err := errNoPeer
+	if via != "" {
+		var batch gateway.Batch
+		if batch, err = callRelay(ctx, via, call); !unavailable(err) {
+			return batch, err
+		}
+	}
+	peers := r.peers()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	peers = slices.DeleteFunc(peers, func(p string) bool { return p == via })
+	tries := relayTries
+	if call.Status != nil {
+		tries = 1
+	}
+	peers = peers[:min(tries, len(peers))]
+	if len(peers) == 0 || ctx.Err() != nil {
+		return gateway.Batch{}, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type answer struct {
+		via   string
+		batch gateway.Batch
+		err   error
+	}
+	answers := make(chan answer, len(peers))
+	for _, p := range peers {
+		go func() {
+			batch, err := callRelay(ctx, p, call)
+			answers <- answer{p, batch, err}
+		}()
+	}
+	for range peers {
+		a := <-answers
+		if !unavailable(a.err) {
+			r.divert(a.via)
+			return a.batch, a.err
+		}
+		err = errors.Join(err, a.err)
+	}
+	return gateway.Batch{}, err
+}
+
+// errNoPeer means that no other entry can be asked.
+var errNoPeer = fmt.Errorf("%w: no other entry can be asked", gateway.ErrNotDone)
+
 func callRelay(ctx context.Context, address string, call relayCall) (gateway.Batch, error) {
 	var answer relayAnswer
 	ctx, cancel := context.WithTimeout(ctx, call.Wait+relayTimeout)
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -32,7 +32,7 @@
 	// orderPause bounds the reads while operators write in quick succession.
 	orderPause = 100 * time.Millisecond
 	// upstreamWait is short, because these reads also show that the store is lost: heartbeats arrive all the time.
-	upstreamWait = 300 * time.Millisecond
+	upstreamWait = 200 * time.Millisecond
 	orderWait    = 3 * time.Second
 	retryPause   = 100 * time.Millisecond
 	// lapseTime is how long after an outage missing records may still come back.
@@ -50,6 +50,7 @@
 	healthy     atomic.Bool
 
 	mu    sync.Mutex
+	ctx   context.Context
 	epoch context.Context
 	next  context.CancelFunc // begins another epoch
 }
@@ -65,7 +66,10 @@
 func (f *Feed) Run(ctx context.Context) {
 	f.start = time.Now()
 	f.lastTrouble.Store(-int64(time.Hour))
-	f.beginEpoch(ctx)
+	f.mu.Lock()
+	f.ctx = ctx
+	f.mu.Unlock()
+	f.Restart()
 	done := make(chan struct{})
 	sources := []gateway.Source{gateway.Operators, gateway.Upstreams, gateway.Statuses, gateway.Entries}
 	for _, s := range sources {
@@ -95,7 +99,7 @@
 			}
 			continue
 		}
-		f.succeeded(ctx, source)
+		f.succeeded(source)
 		position = batch.End
 		if batch.Snapshot || len(batch.Updates) > 0 {
 			f.Deliver(batch, f.disturbed())
@@ -125,13 +129,17 @@
 	return batch, findings, err
 }
 
-func (f *Feed) beginEpoch(ctx context.Context) {
+// Restart ends the reads that wait for orders, so that they are made anew.
+func (f *Feed) Restart() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.ctx == nil {
+		return // not running yet
+	}
 	if f.next != nil {
 		f.next()
 	}
-	f.epoch, f.next = context.WithCancel(ctx)
+	f.epoch, f.next = context.WithCancel(f.ctx)
 }
 
 func (f *Feed) failed(ctx context.Context, source gateway.Source, position int64, err error) int64 {
@@ -142,16 +150,16 @@
 	f.lastTrouble.Store(int64(time.Since(f.start)))
 	if source == gateway.Upstreams && f.healthy.Swap(false) {
 		f.Log.Warn().Str("dependency", "store").Err(err).Msg("dependency lost")
-		f.beginEpoch(ctx)
+		f.Restart()
 	}
 	sleep(ctx, retryPause)
 	return position
 }
 
-func (f *Feed) succeeded(ctx context.Context, source gateway.Source) {
+func (f *Feed) succeeded(source gateway.Source) {
 	if source == gateway.Upstreams && !f.healthy.Swap(true) {
 		f.Log.Info().Str("dependency", "store").Msg("dependency available")
-		f.beginEpoch(ctx)
+		f.Restart()
 	}
 }
 
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -128,7 +128,7 @@
 	asked := time.Now()
 	p, err := x.s.o.Placer.Place(ctx, x.ask(), x.objective, x.deadline)
 	if err != nil {
-		x.notPlaced(ctx, err)
+		x.notPlaced(err)
 		return false
 	}
 	x.logPlacement(p, asked)
@@ -148,7 +148,7 @@
 	}
 }
 
-func (x *exchange) notPlaced(ctx context.Context, err error) {
+func (x *exchange) notPlaced(err error) {
 	var refused *coordinator.Refused
 	switch {
 	case errors.As(err, &refused) && x.lost != nil:
@@ -161,7 +161,6 @@
 	case x.lost != nil:
 		x.answer(http.StatusGatewayTimeout, 0, false, "deadline")
 	default:
-		_ = ctx
 		x.answer(http.StatusServiceUnavailable, 0, false, "deadline")
 	}
 }
@@ -286,25 +285,31 @@
 			x.record("attempt", p, "failure", strconv.Itoa(resp.StatusCode), started)
 			return true
 		}
-		x.write(resp, head, nil)
-		x.record("response", p, strconv.Itoa(resp.StatusCode), "", started)
+		x.deliver(p, started, resp, head, nil)
 		return false
 	}
-	err = x.write(resp, head, resp.Body)
-	if err != nil {
+	if x.deliver(p, started, resp, head, resp.Body) != nil {
 		outcome = placement.Lost
 		if x.conn.ctx.Err() != nil {
 			outcome = placement.Cancelled
 		}
-		x.record("response", p, "cut", err.Error(), started)
-	} else {
-		x.record("response", p, strconv.Itoa(resp.StatusCode), "", started)
 	}
 	p.Finish(outcome, time.Since(started), load)
 	x.s.o.Metrics.attempts.WithLabelValues(outcome.String()).Inc()
 	return false
 }
 
+// deliver writes the response and records how that ended.
+func (x *exchange) deliver(p *coordinator.Placed, started time.Time, resp *transport.Response, head []byte, rest io.Reader) error {
+	err := x.write(resp, head, rest)
+	if err != nil {
+		x.record("response", p, "cut", err.Error(), started)
+		return err
+	}
+	x.record("response", p, strconv.Itoa(resp.StatusCode), "", started)
+	return nil
+}
+
 var errNoStamp = errors.New("a success without the upstream's signature")
 
 // repeatFailure reports whether a failure of an upstream is worth a second attempt.
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -13,6 +13,7 @@
 
 	"boragehinge.example/boragehinge/internal/coordinator"
 	"boragehinge.example/boragehinge/internal/gateway"
+	"boragehinge.example/boragehinge/internal/headers"
 	"boragehinge.example/boragehinge/internal/telemetry"
 	"boragehinge.example/boragehinge/internal/transport"
 )
@@ -26,7 +27,7 @@
 // Options describe a Server.
 type Options struct {
 	Zone      string // data centre of this entry
-	Names     Names
+	Names     headers.Names
 	Placer    Placer
 	Transport *transport.Transport
 	Decisions *telemetry.DecisionLog
--- a/internal/ingress/write.go
+++ b/internal/ingress/write.go
@@ -43,7 +43,7 @@
 		b = append(b, "Connection: close\r\n"...)
 	}
 	b = append(b, "Content-Length: 0\r\n\r\n"...)
-	x.send1(b)
+	x.writeAnswer(b)
 }
 
 func appendStatus(b []byte, status int) []byte {
@@ -54,7 +54,7 @@
 	return append(b, "\r\n"...)
 }
 
-func (x *exchange) send1(b []byte) {
+func (x *exchange) writeAnswer(b []byte) {
 	_ = x.conn.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if _, err := x.conn.nc.Write(b); err != nil {
 		x.conn.cancel()
@@ -157,7 +157,8 @@
 		framed := strconv.AppendInt(make([]byte, 0, len(p)+16), int64(len(p)), 16)
 		framed = append(framed, "\r\n"...)
 		framed = append(framed, p...)
-		p = append(framed, "\r\n"...)
+		framed = append(framed, "\r\n"...)
+		p = framed
 	}
 	if _, err := x.conn.nc.Write(p); err != nil {
 		return fmt.Errorf("write to the caller: %w", err)
--- a/internal/placement/move.go
+++ b/internal/placement/move.go
@@ -56,7 +56,6 @@
 	total, onTrial float64
 	stats          map[string]*versionStats // by route, of the new version
 	oldStats       versionStats
-	verdict        string
 }
 
 // StartMove begins a move to a version, with the time that is left for it.
@@ -161,7 +160,7 @@
 // wantsSample reports whether the version on trial should get the next request.
 func (m *moveState) wantsSample() bool { return m.phase == Trial && m.admits(m.version) }
 
-func (m *moveState) arrived(time.Time) {
+func (m *moveState) arrived() {
 	if m.phase == Trial {
 		m.total++
 	}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -115,25 +115,25 @@
 	if a.Attempt <= 1 {
 		p.budget.requests[p.budget.current]++
 	} else if !p.budget.allow(&p.spec) {
-		return p.refuse(now, c, ReasonBudget)
+		return p.refuse(c, ReasonBudget)
 	}
 	if a.Fingerprint != 0 && len(p.crashes[a.Fingerprint].upstreams) >= maxCrashes {
-		return p.refuse(now, c, ReasonCrashes)
+		return p.refuse(c, ReasonCrashes)
 	}
-	p.move.arrived(now)
+	p.move.arrived()
 	if !p.anyFor(c) {
-		return p.refuse(now, c, ReasonNoUpstream)
+		return p.refuse(c, ReasonNoUpstream)
 	}
 	base := p.serviceTime(c)
 	if now.Add(base).After(a.Deadline) {
-		return p.refuse(now, c, ReasonDeadline)
+		return p.refuse(c, ReasonDeadline)
 	}
 	if u := p.choose(now, c); u != nil {
 		p.grant(now, c, u)
 		return p.out
 	}
 	if !p.admits(now, c) {
-		return p.refuse(now, c, ReasonOverload)
+		return p.refuse(c, ReasonOverload)
 	}
 	p.enqueue(c)
 	return p.out
@@ -257,7 +257,7 @@
 	return now.Sub(at)
 }
 
-func (p *Pool) refuse(now time.Time, c *call, reason Reason) Decisions {
+func (p *Pool) refuse(c *call, reason Reason) Decisions {
 	after := max(MinRetryAfter, min(maxRetryAfter, p.expectedWait(c)))
 	if reason == ReasonCrashes {
 		after = maxRetryAfter
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -96,16 +96,16 @@
 	p.dequeue(func(c *call) bool {
 		switch {
 		case !p.anyFor(c):
-			p.refuse(now, c, ReasonNoUpstream)
+			p.refuse(c, ReasonNoUpstream)
 			return true
 		case now.Add(p.serviceTime(c)).After(c.ask.Deadline):
-			p.refuse(now, c, ReasonDeadline)
+			p.refuse(c, ReasonDeadline)
 			return true
 		case p.onTimePossible(now, c):
 			return false
 		}
 		if late += c.work; late > limit {
-			p.refuse(now, c, ReasonOverload)
+			p.refuse(c, ReasonOverload)
 			return true
 		}
 		return false
--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"boragehinge.example/boragehinge/internal/coordinator"
+	"boragehinge.example/boragehinge/internal/headers"
 	"boragehinge.example/boragehinge/internal/placement"
 )
 
@@ -25,15 +26,9 @@
 	maxBody       = 64 << 10
 )
 
-// Headers names the headers of health responses, in canonical form.
-type Headers struct {
-	InstanceID, Load, ColdMs string
-	ParseLoad                func(string) *placement.Load
-}
-
 // Prober probes upstreams.
 type Prober struct {
-	Headers Headers
+	Headers headers.Names
 	// Interval returns the time between two probes of an upstream. It is asked before each pause.
 	Interval func() time.Duration
 }
