--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -22,18 +22,22 @@
 // Placed is a granted request. Call Finish once.
 type Placed struct {
 	placement.Grant
-	Mode string // leader, follower or alone: who placed it
-	h    *handle
+	Mode   string // leader, follower or alone: who placed it
+	finish func(placement.Outcome, time.Duration, *placement.Load)
+}
+
+// NewPlaced returns a granted request whose end is reported to finish.
+func NewPlaced(g placement.Grant, finish func(placement.Outcome, time.Duration, *placement.Load)) *Placed {
+	return &Placed{Grant: g, finish: finish}
 }
 
 // Finish reports the end of the attempt.
 func (p *Placed) Finish(outcome placement.Outcome, latency time.Duration, load *placement.Load) {
-	p.h.node.untrack(p.h).finish(End{Ask: p.h.ask.ID, Outcome: outcome, Latency: latency, Load: load})
+	p.finish(outcome, latency, load)
 }
 
 // handle is a request that runs on an upstream.
 type handle struct {
-	node     *Node
 	session  session
 	ask      Ask
 	upstream string
@@ -94,11 +98,15 @@
 }
 
 func (n *Node) track(s session, a Ask, g placement.Grant) *Placed {
-	h := &handle{node: n, session: s, ask: a, upstream: g.Upstream, started: time.Now()}
+	h := &handle{session: s, ask: a, upstream: g.Upstream, started: time.Now()}
 	n.mu.Lock()
 	n.running[h] = struct{}{}
 	n.mu.Unlock()
-	return &Placed{Grant: g, Mode: s.mode(), h: h}
+	p := NewPlaced(g, func(o placement.Outcome, latency time.Duration, load *placement.Load) {
+		n.untrack(h).finish(End{Ask: a.ID, Outcome: o, Latency: latency, Load: load})
+	})
+	p.Mode = s.mode()
+	return p
 }
 
 // untrack returns the session that the end of the call belongs to.
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -107,8 +107,11 @@
 	}
 	arrived := time.Now()
 	_ = c.nc.SetReadDeadline(arrived.Add(limits.HeaderTimeout)) // fails only on a closed connection, which Read reports
-	c.in.left = limits.HeaderBytes
+	c.in.left = max(0, limits.HeaderBytes-int64(c.br.Buffered()))
 	req, err := http.ReadRequest(c.br)
+	if err != nil && c.in.left == 0 {
+		err = errHeaderTooLarge // the parser reports a malformed line instead
+	}
 	c.in.left = -1
 	if err != nil {
 		c.rejectUnreadable(err)
--- /dev/null
+++ b/internal/ingress/ingress_test.go
@@ -0,0 +1,378 @@
+package ingress_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"boragehinge.example/boragehinge/internal/coordinator"
+	"boragehinge.example/boragehinge/internal/gateway"
+	"boragehinge.example/boragehinge/internal/ingress"
+	"boragehinge.example/boragehinge/internal/placement"
+	"boragehinge.example/boragehinge/internal/telemetry"
+	"boragehinge.example/boragehinge/internal/transport"
+	"boragehinge.example/boragehinge/platform"
+	"boragehinge.example/boragehinge/platform/standin"
+)
+
+// placer sends each request to the first upstream that it doesn't exclude.
+type placer struct {
+	mu        sync.Mutex
+	config    *gateway.Config
+	upstreams []*standin.Upstream
+	refuse    *placement.Refusal
+	outcomes  []string
+}
+
+func (p *placer) set(config *gateway.Config, refuse *placement.Refusal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.config, p.refuse = config, refuse
+}
+
+func (p *placer) Config() *gateway.Config {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.config
+}
+
+func (p *placer) Place(_ context.Context, a coordinator.Ask, _, _ time.Time) (*coordinator.Placed, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.refuse != nil {
+		return nil, &coordinator.Refused{Refusal: *p.refuse}
+	}
+	for _, u := range p.upstreams {
+		if !slices.Contains(a.Exclude, u.ID) {
+			return coordinator.NewPlaced(placement.Grant{Upstream: u.ID, Address: u.Address()}, p.finish), nil
+		}
+	}
+	return nil, &coordinator.Refused{Refusal: placement.Refusal{Reason: placement.ReasonNoUpstream, RetryAfter: 50 * time.Millisecond}}
+}
+
+func (p *placer) finish(o placement.Outcome, _ time.Duration, _ *placement.Load) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.outcomes = append(p.outcomes, o.String())
+}
+
+type rig struct {
+	t       *testing.T
+	placer  *placer
+	server  *ingress.Server
+	address string
+	next    int
+}
+
+func route(name string, kind gateway.Kind, timeout time.Duration) gateway.Route {
+	return gateway.Route{
+		Name: name, Host: "h.example", Prefix: "/" + name + "/", Kind: kind, Timeout: timeout, Objective: timeout / 2,
+		Parts: []gateway.Part{{Service: "s", Weight: 1}}, MaxAttempts: 2,
+	}
+}
+
+func newRig(t *testing.T, upstreams int) *rig {
+	config := &gateway.Config{
+		Version: 7, Services: map[string]gateway.Service{"s": {Name: "s"}},
+		Routes: []gateway.Route{
+			route("safe", gateway.Safe, 2*time.Second), route("unsafe", gateway.Unsafe, 2*time.Second),
+			route("short", gateway.Safe, 150*time.Millisecond), route("download", gateway.Download, 2*time.Second),
+		},
+		Limits: gateway.Limits{HeaderBytes: 4096, BodyBytes: 1 << 20, HeaderTimeout: 200 * time.Millisecond, IdleTimeout: 2 * time.Second},
+	}
+	config.Index()
+	r := &rig{t: t, placer: &placer{config: config}}
+	for i := range upstreams {
+		u, err := standin.StartUpstream(fmt.Sprintf("u%d", i), "127.0.0.1:0", 4)
+		require.NoError(t, err)
+		t.Cleanup(u.Stop)
+		r.placer.upstreams = append(r.placer.upstreams, u)
+	}
+	names := platform.Names()
+	tr := transport.New(transport.Config{NotRun: names.Refused, Belongs: names.Belongs, AcceptUndelimited: true})
+	r.server = ingress.NewServer(ingress.Options{
+		Zone: "z", Names: names, Placer: r.placer, Transport: tr, Decisions: telemetry.NewDecisionLog(io.Discard, 100),
+		Metrics: ingress.NewMetrics(prometheus.NewRegistry()), Log: zerolog.Nop(),
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	r.address = l.Addr().String()
+	go func() { _ = r.server.Serve(l) }()
+	t.Cleanup(func() {
+		_ = l.Close()
+		tr.Close()
+	})
+	return r
+}
+
+func (r *rig) dial() (net.Conn, *bufio.Reader) {
+	c, err := net.Dial("tcp", r.address)
+	require.NoError(r.t, err)
+	r.t.Cleanup(func() { _ = c.Close() })
+	require.NoError(r.t, c.SetDeadline(time.Now().Add(10*time.Second)))
+	return c, bufio.NewReader(c)
+}
+
+func (r *rig) request(method, path, body string) string {
+	r.next++
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h.example\r\nX-Boragehinge-Request-Id: id%d\r\nX-Boragehinge-Deadline-Ms: 5000\r\nContent-Length: %d\r\n\r\n%s",
+		method, path, r.next, len(body), body)
+}
+
+func (r *rig) send(raw string) *http.Response {
+	c, br := r.dial()
+	_, err := io.WriteString(c, raw)
+	require.NoError(r.t, err)
+	return r.read(br)
+}
+
+func (r *rig) read(br *bufio.Reader) *http.Response {
+	resp, err := http.ReadResponse(br, nil)
+	require.NoError(r.t, err)
+	return resp
+}
+
+func bodyOf(t *testing.T, resp *http.Response) string {
+	data, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	return string(data)
+}
+
+func (r *rig) ran(id string) int {
+	n := 0
+	for _, u := range r.placer.upstreams {
+		n += u.Runs(id)
+	}
+	return n
+}
+
+// Guards against requests and responses that are changed on their way.
+func TestRequestsAndResponsesPassUnchanged(t *testing.T) {
+	r := newRig(t, 1)
+	resp := r.send(r.request("POST", "/unsafe/a%2Fb//c?x=1&y=%20", "the body"))
+	assert.Equal(t, http.StatusOK, resp.StatusCode)
+	assert.Equal(t, "u0.id1", resp.Header.Get("X-Boragehinge-Server-Stamp"))
+	assert.Equal(t, "served by u0", bodyOf(t, resp))
+	path, body, header := r.placer.upstreams[0].Last()
+	assert.Equal(t, "POST /unsafe/a%2Fb//c?x=1&y=%20", path)
+	assert.Equal(t, "the body", body)
+	assert.Equal(t, "id1", header.Get("X-Boragehinge-Request-Id"))
+	assert.Equal(t, "u0", header.Get("X-Boragehinge-Expect-Instance"))
+	assert.NotContains(t, header, "User-Agent")
+	assert.NotContains(t, header, "Accept-Encoding")
+}
+
+// Guards against a request that must not run twice, and against a false promise that it has not run.
+func TestUnsafeRequestsRunOnce(t *testing.T) {
+	tests := []struct {
+		name      string
+		behaviour standin.Behaviour
+		status    int
+		runs      int
+	}{
+		{"connection reset after the run", standin.Behaviour{Reset: true}, http.StatusBadGateway, 1},
+		{"response cut short", standin.Behaviour{Truncate: true}, http.StatusBadGateway, 1},
+		{"success without signature", standin.Behaviour{NoStamp: true}, http.StatusBadGateway, 1},
+		{"failure of the upstream", standin.Behaviour{Status: 500}, 500, 1},
+		{"refused, so another upstream runs it", standin.Behaviour{Refuse: true}, http.StatusOK, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			r := newRig(t, 2)
+			r.placer.upstreams[0].Set(test.behaviour)
+			resp := r.send(r.request("POST", "/unsafe/x", "b"))
+			assert.Equal(t, test.status, resp.StatusCode)
+			assert.Equal(t, test.runs, r.ran("id1"))
+		})
+	}
+}
+
+// Guards against idempotent requests that fail although another upstream could answer them.
+func TestSafeRequestsAreRepeated(t *testing.T) {
+	for name, behaviour := range map[string]standin.Behaviour{
+		"reset": {Reset: true}, "truncated": {Truncate: true}, "unsigned": {NoStamp: true}, "failure": {Status: 500}, "refused": {Refuse: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 2)
+			r.placer.upstreams[0].Set(behaviour)
+			resp := r.send(r.request("GET", "/safe/x", ""))
+			assert.Equal(t, http.StatusOK, resp.StatusCode)
+			assert.Equal(t, "served by u1", bodyOf(t, resp))
+		})
+	}
+}
+
+// Guards against more upstreams for one request than its route allows.
+func TestAttemptsAreBounded(t *testing.T) {
+	r := newRig(t, 4)
+	for _, u := range r.placer.upstreams {
+		u.Set(standin.Behaviour{Reset: true})
+	}
+	resp := r.send(r.request("GET", "/safe/x", ""))
+	assert.Equal(t, http.StatusBadGateway, resp.StatusCode)
+	assert.Equal(t, 2, r.ran("id1"))
+}
+
+// Guards against a promise that an idempotent request has not run when an earlier attempt was lost and the next is refused.
+func TestALostAttemptIsNotCalledNotRun(t *testing.T) {
+	r := newRig(t, 2)
+	r.placer.upstreams[0].Set(standin.Behaviour{Reset: true})
+	r.placer.upstreams[1].Set(standin.Behaviour{Refuse: true})
+	resp := r.send(r.request("GET", "/safe/x", ""))
+	assert.Equal(t, http.StatusBadGateway, resp.StatusCode)
+}
+
+// Guards against a response that an upstream sent twice, which would answer the next request of the connection.
+func TestALateExtraResponseIsSkipped(t *testing.T) {
+	r := newRig(t, 1)
+	r.placer.upstreams[0].Set(standin.Behaviour{Extra: true})
+	for i := range 5 {
+		resp := r.send(r.request("GET", "/safe/x", ""))
+		assert.Equal(t, fmt.Sprintf("u0.id%d", i+1), resp.Header.Get("X-Boragehinge-Server-Stamp"))
+		assert.Equal(t, "served by u0", bodyOf(t, resp))
+	}
+}
+
+// Guards against pipelined requests that wait for each other, or are answered out of order.
+func TestPipelinedRequestsRunAtOnceAndAreAnsweredInOrder(t *testing.T) {
+	r := newRig(t, 1)
+	r.placer.upstreams[0].Set(standin.Behaviour{Work: 150 * time.Millisecond})
+	c, br := r.dial()
+	var all strings.Builder
+	for range 4 {
+		all.WriteString(r.request("GET", "/safe/x", ""))
+	}
+	start := time.Now()
+	_, err := io.WriteString(c, all.String())
+	require.NoError(t, err)
+	for i := range 4 {
+		resp := r.read(br)
+		assert.Equal(t, fmt.Sprintf("id%d", i+1), resp.Header.Get("X-Boragehinge-Request-Id"))
+		bodyOf(t, resp)
+	}
+	assert.Less(t, time.Since(start), 4*150*time.Millisecond)
+}
+
+// Guards against work for callers that have left.
+func TestWorkEndsWhenTheCallerLeaves(t *testing.T) {
+	r := newRig(t, 1)
+	r.placer.upstreams[0].Set(standin.Behaviour{Work: 5 * time.Second})
+	c, _ := r.dial()
+	_, err := io.WriteString(c, r.request("GET", "/safe/x", ""))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return r.ran("id1") == 1 }, 2*time.Second, 5*time.Millisecond)
+	require.NoError(t, c.Close())
+	require.Eventually(t, func() bool {
+		_, cancelled := r.placer.upstreams[0].Totals()
+		return cancelled == 1
+	}, 2*time.Second, 5*time.Millisecond, "the upstream still works")
+}
+
+// Guards against a truncated large response that looks complete.
+func TestALargeResponseThatIsCutEndsTheConnection(t *testing.T) {
+	r := newRig(t, 1)
+	r.placer.upstreams[0].Set(standin.Behaviour{BodySize: 2 << 20, Truncate: true})
+	resp := r.send(r.request("GET", "/download/x", ""))
+	assert.Equal(t, http.StatusOK, resp.StatusCode)
+	_, err := io.ReadAll(resp.Body)
+	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+}
+
+// Guards against large responses and bodies that don't arrive whole.
+func TestLargeBodiesAreStreamed(t *testing.T) {
+	r := newRig(t, 1)
+	r.placer.upstreams[0].Set(standin.Behaviour{BodySize: 2 << 20})
+	body := strings.Repeat("b", 600<<10)
+	resp := r.send(r.request("POST", "/unsafe/x", body))
+	assert.Len(t, bodyOf(t, resp), 2<<20)
+	_, got, _ := r.placer.upstreams[0].Last()
+	assert.Equal(t, len(body), len(got))
+}
+
+// Guards against answers of this system's own that are wrong about the request.
+func TestOwnAnswers(t *testing.T) {
+	long := "GET /safe/x HTTP/1.1\r\nHost: h.example\r\nX-Long: " + strings.Repeat("x", 5000) + "\r\n\r\n"
+	tests := []struct {
+		name    string
+		raw     string
+		prepare func(*rig)
+		status  int
+		closes  bool
+	}{
+		{"no configuration is known", "", func(r *rig) { r.placer.set(nil, nil) }, http.StatusServiceUnavailable, false},
+		{"no route", "GET /other/x HTTP/1.1\r\nHost: h.example\r\nX-Boragehinge-Request-Id: i\r\n\r\n", nil, http.StatusNotFound, false},
+		{"no request ID", "GET /safe/x HTTP/1.1\r\nHost: h.example\r\n\r\n", nil, http.StatusBadRequest, true},
+		{"header too large", long, nil, http.StatusRequestHeaderFieldsTooLarge, true},
+		{"header too slow", "GET /safe/x HTTP/1.1\r\nHost:", nil, http.StatusRequestTimeout, true},
+		{"not a request", "nonsense\r\n\r\n", nil, http.StatusBadRequest, true},
+		{"body too large", "POST /unsafe/x HTTP/1.1\r\nHost: h.example\r\nX-Boragehinge-Request-Id: i\r\nContent-Length: 2000000\r\n\r\n", nil, http.StatusRequestEntityTooLarge, true},
+		{"refused by placement", "", func(r *rig) {
+			r.placer.set(r.placer.config, &placement.Refusal{Reason: placement.ReasonOverload, RetryAfter: 120 * time.Millisecond})
+		}, http.StatusServiceUnavailable, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			r := newRig(t, 1)
+			if test.prepare != nil {
+				test.prepare(r)
+			}
+			raw := test.raw
+			if raw == "" {
+				raw = r.request("GET", "/safe/x", "")
+			}
+			resp := r.send(raw)
+			assert.Equal(t, test.status, resp.StatusCode)
+			assert.Equal(t, test.closes, resp.Close)
+			if test.status == http.StatusServiceUnavailable {
+				assert.NotEmpty(t, resp.Header.Get("Retry-After"))
+			}
+		})
+	}
+}
+
+// Guards against requests that are kept waiting past their route's timeout.
+func TestTheRoutesTimeoutEndsARequest(t *testing.T) {
+	r := newRig(t, 1)
+	r.placer.upstreams[0].Set(standin.Behaviour{Work: 3 * time.Second})
+	start := time.Now()
+	resp := r.send(r.request("GET", "/short/x", ""))
+	assert.Equal(t, http.StatusGatewayTimeout, resp.StatusCode)
+	assert.Less(t, time.Since(start), 150*time.Millisecond+500*time.Millisecond)
+}
+
+// Guards against planned work that cuts requests: an entry that stops answers what it has read and then closes.
+func TestDrainAnswersWhatWasRead(t *testing.T) {
+	r := newRig(t, 1)
+	r.placer.upstreams[0].Set(standin.Behaviour{Work: 200 * time.Millisecond})
+	c, br := r.dial()
+	_, err := io.WriteString(c, r.request("GET", "/safe/x", ""))
+	require.NoError(t, err)
+	idle, idleReader := r.dial()
+	_ = idle
+	require.Eventually(t, func() bool { return r.ran("id1") == 1 }, 2*time.Second, 5*time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	done := make(chan error, 1)
+	go func() { done <- r.server.Drain(ctx) }()
+	resp := r.read(br)
+	assert.Equal(t, http.StatusOK, resp.StatusCode)
+	assert.True(t, resp.Close)
+	bodyOf(t, resp)
+	require.NoError(t, <-done)
+	_, err = idleReader.ReadByte()
+	assert.True(t, errors.Is(err, io.EOF), "idle connections are closed")
+}
