Keep a reserve for calls in time, count silent answers against a version, look at one upstream an event

Change: late calls start only beyond a reserve of a fifth of the slots, and are refused at once when it has been used up for 0.15 s; silent answers count as slow; an event looks at the upstream that changed.

--- a/internal/placement/move.go
+++ b/internal/placement/move.go
@@ -20,10 +20,12 @@
 	// badSlowdown is the factor above the expected latency at which an answer counts as slow.
 	badSlowdown = 1.9
 	// doubt is the logarithm of one over the probability with which a bound of a share is wrong.
-	doubt = 6
-	// badFailureShare and badSlowShare are by how much a bad version is worse than twice the old one.
-	badFailureShare = 0.03
-	badSlowShare    = 0.2
+	doubt = 4.5
+	// badFactor, badFailureShare and badSlowShare are by how much a bad version is worse than the old one. A good version
+	// that is rolled back costs a repetition; a bad one that is completed fails its share of all requests.
+	badFactor       = 1.5
+	badFailureShare = 0.02
+	badSlowShare    = 0.06
 )
 
 // MovePhase says where a move stands.
@@ -188,14 +190,15 @@
 }
 
 func (s *versionStats) add(c *call, e End, base time.Duration) {
-	// A lost response says nothing about the version: connections are reset for other reasons too.
 	switch e.Outcome {
 	case Success:
 		s.answers++
 	case Failure:
 		s.answers++
 		s.failures++
+	case Silent: // too slow for its deadline
 	default:
+		// A lost response says nothing about the version: connections are reset for other reasons too.
 		return
 	}
 	if base <= 0 || c.crowded {
@@ -238,11 +241,11 @@
 
 func (s *versionStats) worseThan(old *versionStats) string {
 	failed := confidence.Lower(s.failures, s.answers, doubt)
-	if failed > badFailureShare+2*ratio(old.failures, old.answers) {
+	if failed > badFailureShare+badFactor*ratio(old.failures, old.answers) {
 		return "failures"
 	}
 	slow := confidence.Lower(s.slow, s.timed, doubt)
-	if slow > badSlowShare+2*ratio(old.slow, old.timed) {
+	if slow > badSlowShare+badFactor*ratio(old.slow, old.timed) {
 		return "slow answers"
 	}
 	return ""
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -42,6 +42,8 @@
 	budget  budget
 	move    moveState
 	crashes map[uint64]crash
+	slots   slotCount
+	spareAt time.Time // when slots were free beyond the reserve
 	// averagePace is the moving average of the pace that upstreams report in probes.
 	averagePace float64
 	out         Decisions
@@ -89,7 +91,7 @@
 		p.order = append(p.order, u)
 	}
 	slices.SortFunc(p.order, func(a, b *upstream) int { return compareIDs(a.spec.ID, b.spec.ID) })
-	p.dispatch(now)
+	p.dispatch(now, nil)
 	return p.out
 }
 
@@ -115,25 +117,25 @@
 	if a.Attempt <= 1 {
 		p.budget.requests[p.budget.current]++
 	} else if !p.budget.allow(&p.spec) {
-		return p.refuse(c, ReasonBudget)
+		return p.refuse(now, c, ReasonBudget)
 	}
 	if a.Fingerprint != 0 && len(p.crashes[a.Fingerprint].upstreams) >= maxCrashes {
-		return p.refuse(c, ReasonCrashes)
+		return p.refuse(now, c, ReasonCrashes)
 	}
 	p.move.arrived()
 	if !p.anyFor(c) {
-		return p.refuse(c, ReasonNoUpstream)
+		return p.refuse(now, c, ReasonNoUpstream)
 	}
 	base := p.serviceTime(c)
 	if now.Add(base).After(a.Deadline) {
-		return p.refuse(c, ReasonDeadline)
+		return p.refuse(now, c, ReasonDeadline)
 	}
 	if u := p.choose(now, c); u != nil {
 		p.grant(now, c, u)
 		return p.out
 	}
 	if !p.admits(now, c) {
-		return p.refuse(c, ReasonOverload)
+		return p.refuse(now, c, ReasonOverload)
 	}
 	p.enqueue(c)
 	return p.out
@@ -223,12 +225,16 @@
 	if p.onTimePossible(now, c) {
 		return false
 	}
-	return !now.Add(predicted).After(c.ask.Deadline)
+	return p.countSlots(now).spare() && !now.Add(predicted).After(c.ask.Deadline)
 }
 
 // onTimePossible reports whether an upstream at its usual pace could still meet the objective.
 func (p *Pool) onTimePossible(now time.Time, c *call) bool {
-	need := time.Duration(float64(p.serviceTime(c)) * serviceMargin)
+	work := c.work
+	if work == 0 {
+		work = p.serviceTime(c)
+	}
+	need := time.Duration(float64(work) * serviceMargin)
 	return !now.Add(need).After(c.ask.Objective)
 }
 
@@ -257,8 +263,8 @@
 	return now.Sub(at)
 }
 
-func (p *Pool) refuse(c *call, reason Reason) Decisions {
-	after := max(MinRetryAfter, min(maxRetryAfter, p.expectedWait(c)))
+func (p *Pool) refuse(now time.Time, c *call, reason Reason) Decisions {
+	after := max(MinRetryAfter, min(maxRetryAfter, p.expectedWait(now, c)))
 	if reason == ReasonCrashes {
 		after = maxRetryAfter
 	}
@@ -281,7 +287,7 @@
 	p.move.ended(c, e, p.serviceTime(c))
 	p.limitEjections(now)
 	p.noteCrash(now, c, e)
-	p.dispatch(now)
+	p.dispatch(now, c.up)
 	return p.out
 }
 
@@ -377,7 +383,7 @@
 		u.suspects = u.suspects[:0]
 	}
 	if u.pace < before || !wasUsable {
-		p.dispatch(now)
+		p.dispatch(now, u)
 	}
 	return p.out
 }
@@ -387,7 +393,7 @@
 	p.begin()
 	p.expireCrashes(now)
 	p.expire(now)
-	p.dispatch(now)
+	p.dispatch(now, nil)
 	return p.out
 }
 
--- a/internal/placement/pool_test.go
+++ b/internal/placement/pool_test.go
@@ -288,6 +288,12 @@
 	bad := map[string]func(time.Duration, string, float64) (Outcome, time.Duration){
 		"fails at once": func(time.Duration, string, float64) (Outcome, time.Duration) { return Failure, 60 * time.Millisecond },
 		"slow at once":  func(time.Duration, string, float64) (Outcome, time.Duration) { return Success, 350 * time.Millisecond },
+		"slow in part, beyond the deadline": func(at time.Duration, _ string, _ float64) (Outcome, time.Duration) {
+			if at.Milliseconds()/5%3 == 0 {
+				return Silent, 900 * time.Millisecond
+			}
+			return Success, 70 * time.Millisecond
+		},
 		"fails later": func(at time.Duration, _ string, _ float64) (Outcome, time.Duration) {
 			if at > 5*time.Second {
 				return Failure, 60 * time.Millisecond
