--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -285,7 +285,7 @@
 			x.record("attempt", p, "failure", strconv.Itoa(resp.StatusCode), started)
 			return true
 		}
-		x.deliver(p, started, resp, head, nil)
+		_ = x.deliver(p, started, resp, head, nil) // recorded, and the caller has left
 		return false
 	}
 	if x.deliver(p, started, resp, head, resp.Body) != nil {
