Restrict a leader that most entries may not follow

Cause: entries that are cut off from each other each led alone with the whole allowance of cold upstreams and the whole rate of probes. Change: a leader with less than half of the known entries uses no cold upstream, a tenth of the budget for further attempts, and probes at most twice a second, for 20 s.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -26,6 +26,9 @@
 // unprobedInFlight is the number of requests that an entry without a leader sends to one upstream at a time.
 const unprobedInFlight = 1
 
+// restrictedShare is the part of the budget for further attempts that an entry uses while others may use it too.
+const restrictedShare = 0.1
+
 // lapsedGrace is how long an upstream whose record may have lapsed in an outage is still used.
 const lapsedGrace = 2500 * time.Millisecond
 
@@ -41,15 +44,17 @@
 	alone  bool // places for one entry without probes
 	log    zerolog.Logger
 
-	mu     sync.Mutex
-	rng    *rand.Rand
-	pools  map[string]*placement.Pool
-	asks   map[uint64]submitted
-	byAsk  map[Client]map[uint64]uint64 // the client's number to ours
-	next   uint64
-	grants map[Client][]placement.Grant
-	refuse map[Client][]placement.Refusal
-	served uint64
+	mu sync.Mutex
+	// restricted says that other leaders may serve beside this one, so bounds that hold over all entries are not drawn on.
+	restricted bool
+	rng        *rand.Rand
+	pools      map[string]*placement.Pool
+	asks       map[uint64]submitted
+	byAsk      map[Client]map[uint64]uint64 // the client's number to ours
+	next       uint64
+	grants     map[Client][]placement.Grant
+	refuse     map[Client][]placement.Refusal
+	served     uint64
 }
 
 // NewCoordinator returns a coordinator without upstreams. alone says that it places for one entry that has no leader.
@@ -66,6 +71,9 @@
 	if w.Config == nil {
 		return
 	}
+	c.mu.Lock()
+	restricted := c.restricted
+	c.mu.Unlock()
 	specs := make(map[string]placement.Spec, len(w.Config.Services))
 	for name, s := range w.Config.Services {
 		spec := placement.Spec{
@@ -73,7 +81,11 @@
 			RetryWindow: c.limits.RetryWindow, Unprobed: c.alone,
 		}
 		if c.alone {
-			spec.MaxInFlight, spec.ColdPerSecond = unprobedInFlight, 0
+			spec.MaxInFlight = unprobedInFlight
+		}
+		if c.alone || restricted {
+			spec.ColdPerSecond = 0
+			spec.RetryRatio, spec.RetryBurst = spec.RetryRatio*restrictedShare, spec.RetryBurst*restrictedShare
 		}
 		specs[name] = spec
 	}
@@ -107,6 +119,15 @@
 	specs[u.Service] = spec
 }
 
+// Restrict says whether other leaders may serve beside this one, and reports whether that is new.
+func (c *Coordinator) Restrict(restricted bool) (changed bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	changed = c.restricted != restricted
+	c.restricted = restricted
+	return changed
+}
+
 // Submit offers asks of a client. Decisions reach the client by Deliver, before Submit returns or later.
 func (c *Coordinator) Submit(now time.Time, client Client, asks ...Ask) {
 	c.mu.Lock()
--- a/internal/coordinator/elect_test.go
+++ b/internal/coordinator/elect_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 
@@ -61,3 +62,12 @@
 	assert.False(t, yields(a, 0, LeaderAnswer{Self: b, Leads: true, Leaving: true, Followers: 5}), "a leader that stops is no rival")
 	assert.False(t, yields(a, 0, LeaderAnswer{Self: b, Followers: 5}), "a follower is no rival")
 }
+
+// Guards against many leaders that are cut off from each other and together send a cold upstream more than it bears.
+func TestALeaderWithoutMostEntriesIsRestricted(t *testing.T) {
+	assert.True(t, inMinority(0, 16, time.Second))
+	assert.True(t, inMinority(6, 16, time.Second))
+	assert.False(t, inMinority(7, 16, time.Second))
+	assert.False(t, inMinority(0, 1, time.Second))
+	assert.False(t, inMinority(3, 16, time.Minute), "entries that are gone for good don't restrict the rest for ever")
+}
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -220,6 +220,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
+			l.checkMajority(now)
 			l.expireTombstones(now)
 			l.moves.advance(ctx, now)
 			if now.Sub(rosterAt) >= rosterInterval {
@@ -230,6 +231,27 @@
 	}
 }
 
+// minorityTime is how long a leader without most of the known entries reckons with another leader. After that the others
+// count as gone.
+const minorityTime = 20 * time.Second
+
+// checkMajority restricts the pools while most entries may follow another leader.
+func (l *leadership) checkMajority(now time.Time) {
+	n := l.node
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	minority := inMinority(len(l.currentFollowers()), len(n.world.Entries), now.Sub(l.since))
+	n.minority.Store(minority)
+	if l.coordinator.Restrict(minority) {
+		n.log.Info().Str("event", "leadership").Bool("minority", minority).Int("entries", len(n.world.Entries)).Msg("leads")
+		n.configurePools(now)
+	}
+}
+
+func inMinority(followers, known int, leads time.Duration) bool {
+	return 2*(followers+1) < known && leads < minorityTime
+}
+
 // expireTombstones closes upstreams whose records lapsed in an outage and did not come back.
 func (l *leadership) expireTombstones(now time.Time) {
 	n := l.node
--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -60,7 +60,9 @@
 
 	config atomic.Pointer[gateway.Config]
 	probed atomic.Int64 // upstreams that this entry probes while it leads
-	nextID atomic.Uint64
+	// minority says that most entries may follow another leader.
+	minority atomic.Bool
+	nextID   atomic.Uint64
 }
 
 // NewNode returns a node; Run starts it.
@@ -77,8 +79,14 @@
 // seventh of its processor.
 const probesPerCore = 2600
 
+// minorityProbes is the least time between two probes of an upstream while other leaders may probe it too.
+const minorityProbes = 500 * time.Millisecond
+
 // ProbeInterval is the time between two probes of an upstream: least, or longer where the upstreams are many.
 func (n *Node) ProbeInterval(least time.Duration) time.Duration {
+	if n.minority.Load() {
+		least = max(least, minorityProbes)
+	}
 	perSecond := max(1, probesPerCore*n.o.Self.CPUShare)
 	return max(least, time.Duration(float64(n.probed.Load())/perSecond*float64(time.Second)))
 }
