Let idle entries beat, tick and poll less

Change: the leader beats every 0.4 s to entries that place nothing; long polls of 15 s; an entry whose record is still in the store doesn't write it again.

--- a/internal/coordinator/cluster_test.go
+++ b/internal/coordinator/cluster_test.go
@@ -68,6 +68,7 @@
 			return err
 		case <-wake:
 			stop()
+			<-done
 		}
 	}
 }
@@ -208,7 +209,7 @@
 				return false
 			}
 		}
-		if cfg := m.node.Config(); cfg == nil || !m.node.Ready() {
+		if cfg := m.node.Config(); cfg == nil || !m.node.Ready() || m.node.currentSession().mode() == "alone" {
 			return false
 		}
 	}
--- a/internal/coordinator/follow.go
+++ b/internal/coordinator/follow.go
@@ -9,10 +9,15 @@
 )
 
 const (
-	// beatInterval is the longest pause between two frames of the leader.
+	// beatInterval is the longest pause between two frames of the leader to an entry that places requests, and idleBeat that
+	// to the others, which are many.
 	beatInterval = 100 * time.Millisecond
+	idleBeat     = 400 * time.Millisecond
 	// leaderSilence is the silence after which a leader counts as lost. Entries on a busy host may pause for 100 ms.
 	leaderSilence = 450 * time.Millisecond
+	idleSilence   = 1300 * time.Millisecond
+	// activeTime is how long an entry counts as one that places requests after the last one.
+	activeTime = 2 * time.Second
 	// followerBeat lets the leader notice a follower that is gone without a reset.
 	followerBeat    = 400 * time.Millisecond
 	followerSilence = 1500 * time.Millisecond
@@ -31,11 +36,11 @@
 	f := &following{node: n, link: link, address: address, session: newLinkSession(link)}
 	link.Queue(func(frame *Frame) { frame.Hello = n.hello(f.session) })
 	go func() {
-		if err := link.Write(ctx, followerBeat); err != nil {
+		if err := link.Write(ctx, func() time.Duration { return followerBeat }); err != nil {
 			link.fail(err)
 		}
 	}()
-	err = link.Read(ctx, leaderSilence, f.handle)
+	err = link.Read(ctx, f.silence, f.handle)
 	link.fail(err)
 	n.endFollowing(f)
 	n.log.Warn().Str("dependency", "leader").Str("leader", address).Err(err).Msg("dependency lost")
@@ -69,6 +74,15 @@
 	joined  bool
 }
 
+// silence is the time after which the leader counts as lost. The leader learns of the first request after a pause before it
+// beats faster, so the time becomes shorter a little later.
+func (f *following) silence() time.Duration {
+	if first := f.session.activeFor(time.Now()); first > idleBeat {
+		return leaderSilence
+	}
+	return idleSilence
+}
+
 // handle takes a frame of the leader.
 func (f *following) handle(frame *Frame) {
 	n := f.node
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -49,7 +49,18 @@
 	link  *Link
 	entry gateway.Entry
 	hello *Hello
-	since time.Time
+
+	activity activity
+}
+
+// beat is the longest pause between two frames to the follower.
+func (f *follower) beat() time.Duration {
+	f.activity.mu.Lock()
+	defer f.activity.mu.Unlock()
+	if time.Since(f.activity.last) < activeTime {
+		return beatInterval
+	}
+	return idleBeat
 }
 
 // Deliver implements Client.
@@ -289,13 +300,13 @@
 func (l *leadership) serve(ctx context.Context, link *Link) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	f := &follower{link: link, since: time.Now()}
+	f := &follower{link: link}
 	go func() {
-		if err := link.Write(ctx, beatInterval); err != nil {
+		if err := link.Write(ctx, f.beat); err != nil {
 			link.fail(err)
 		}
 	}()
-	err := link.Read(ctx, followerSilence, func(frame *Frame) { l.handle(f, frame) })
+	err := link.Read(ctx, func() time.Duration { return followerSilence }, func(frame *Frame) { l.handle(f, frame) })
 	link.fail(err)
 	l.mu.Lock()
 	delete(l.followers, f)
@@ -315,6 +326,7 @@
 		l.coordinator.Finish(now, f, frame.Ends...)
 	}
 	if len(frame.Asks) > 0 {
+		f.activity.note(now)
 		l.coordinator.Submit(now, f, frame.Asks...)
 	}
 	if len(frame.Cancels) > 0 {
--- a/internal/coordinator/link.go
+++ b/internal/coordinator/link.go
@@ -71,25 +71,21 @@
 	}
 }
 
-// Write sends queued frames until ctx ends or the link fails. An empty frame is sent after beat without others; zero
-// means never.
-func (l *Link) Write(ctx context.Context, beat time.Duration) error {
-	var tick <-chan time.Time
-	if beat > 0 {
-		ticker := time.NewTicker(beat)
-		defer ticker.Stop()
-		tick = ticker.C
-	}
+// Write sends queued frames until ctx ends or the link fails. An empty frame is sent after beat without others.
+func (l *Link) Write(ctx context.Context, beat func() time.Duration) error {
+	timer := time.NewTimer(beat())
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-l.wake:
-		case <-tick:
+		case <-timer.C:
 		}
 		if err := l.flush(ctx); err != nil {
 			return err
 		}
+		timer.Reset(beat())
 	}
 }
 
@@ -110,15 +106,15 @@
 var errSilent = errors.New("the other entry is silent")
 
 // Read calls handle for each frame until the link fails, or is silent for longer than silence.
-func (l *Link) Read(ctx context.Context, silence time.Duration, handle func(*Frame)) error {
-	alarm := time.AfterFunc(silence, func() { l.fail(errSilent) })
+func (l *Link) Read(ctx context.Context, silence func() time.Duration, handle func(*Frame)) error {
+	alarm := time.AfterFunc(silence(), func() { l.fail(errSilent) })
 	defer alarm.Stop()
 	for {
 		_, data, err := l.conn.Read(ctx)
 		if err != nil {
 			return l.failure(err)
 		}
-		alarm.Reset(silence)
+		alarm.Reset(silence())
 		var frame Frame
 		if err := cbor.Unmarshal(data, &frame); err != nil {
 			return fmt.Errorf("decode frame: %w", err)
--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -129,6 +129,9 @@
 
 // announce writes this entry's record until it is accepted.
 func (n *Node) announce(ctx context.Context) {
+	for start := time.Now(); !n.knowsEntries() && time.Since(start) < announceWait && ctx.Err() == nil; {
+		sleepFor(ctx, 50*time.Millisecond)
+	}
 	for pause := 200 * time.Millisecond; ctx.Err() == nil; pause = min(2*pause, 2*time.Second) {
 		n.mu.Lock()
 		known := n.world.Entries[n.o.Self.Name]
@@ -145,10 +148,21 @@
 	}
 }
 
+const (
+	aloneTick     = 20 * time.Millisecond
+	aloneIdleTick = 300 * time.Millisecond
+	// announceWait is how long an entry waits for the others' records, among which its own may still be.
+	announceWait = 1500 * time.Millisecond
+)
+
 // tickAlone lets time pass for the pools that are used without a leader.
 func (n *Node) tickAlone(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleepFor(ctx, 20*time.Millisecond)
+		pause := aloneIdleTick
+		if s, ok := n.currentSession().(*localSession); ok && s.coordinator == n.alone {
+			pause = aloneTick
+		}
+		sleepFor(ctx, pause)
 		n.alone.Tick(time.Now())
 	}
 }
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -198,17 +198,46 @@
 // linkSession places by the leader at the other end of a link.
 type linkSession struct {
 	replies
-	link *Link
+	link     *Link
+	activity activity
+}
+
+// activity tells for how long requests have been placed without a long pause. It is safe for concurrent use.
+type activity struct {
+	mu          sync.Mutex
+	first, last time.Time
+}
+
+func (a *activity) note(now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if now.Sub(a.last) > activeTime {
+		a.first = now
+	}
+	a.last = now
+}
+
+// activeFor is the time since the first request after the last pause, or 0 in a pause.
+func (a *activity) activeFor(now time.Time) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if now.Sub(a.last) > activeTime/2 {
+		return 0
+	}
+	return now.Sub(a.first)
 }
 
 func newLinkSession(l *Link) *linkSession {
 	return &linkSession{replies: replies{pending: map[uint64]chan reply{}}, link: l}
 }
 
+func (s *linkSession) activeFor(now time.Time) time.Duration { return s.activity.activeFor(now) }
+
 func (s *linkSession) mode() string { return "follower" }
 
 func (s *linkSession) submit(a Ask) <-chan reply {
 	ch := s.expect(a.ID)
+	s.activity.note(time.Now())
 	s.link.Queue(func(f *Frame) { f.Asks = append(f.Asks, a) })
 	return ch
 }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -34,7 +34,9 @@
 	// upstreamWait is short, because these reads also show that the store is lost.
 	upstreamWait = 200 * time.Millisecond
 	orderWait    = 3 * time.Second
-	retryPause   = 250 * time.Millisecond
+	// rareWait holds for statuses and entries, which change a few times a day and mostly by this system itself.
+	rareWait   = 15 * time.Second
+	retryPause = 250 * time.Millisecond
 	// maxOutageWait bounds the wait for the heartbeat reads to succeed.
 	maxOutageWait = 2 * time.Second
 	// lapseTime is how long after an outage missing records may still come back.
@@ -124,7 +126,11 @@
 	f.mu.Lock()
 	epoch := f.epoch
 	f.mu.Unlock()
-	batch, findings, err := f.Store.Read(epoch, source, position, orderWait)
+	wait := orderWait
+	if source == gateway.Statuses || source == gateway.Entries {
+		wait = rareWait
+	}
+	batch, findings, err := f.Store.Read(epoch, source, position, wait)
 	if err != nil && epoch.Err() != nil {
 		err = errEpoch
 	}
