Send the records of upstreams only to entries that place requests

Change: the leader informs a follower of upstreams when it places its first request; one that was never informed forgets what it knew when it loses the leader.

--- a/internal/coordinator/follow.go
+++ b/internal/coordinator/follow.go
@@ -72,6 +72,8 @@
 	address string
 	session *linkSession
 	joined  bool
+	// informed says that the leader sent the records of upstreams, which it does once this entry places requests.
+	informed bool
 }
 
 // silence is the time after which the leader counts as lost. The leader learns of the first request after a pause before it
@@ -87,6 +89,7 @@
 func (f *following) handle(frame *Frame) {
 	n := f.node
 	for _, b := range frame.Batches {
+		f.informed = f.informed || b.Source == gateway.Upstreams
 		n.apply(b, false)
 	}
 	if frame.Roster != nil {
@@ -105,11 +108,22 @@
 
 func (n *Node) endFollowing(f *following) {
 	if n.currentSession() == session(f.session) {
+		if !f.informed {
+			n.forgetUpstreams()
+		}
 		n.setSession(newLocalSession(n.alone))
 	}
 	f.session.end()
 }
 
+// forgetUpstreams drops records of upstreams that no leader has kept up to date. Upstreams that have left must get nothing.
+func (n *Node) forgetUpstreams() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.world.ForgetUpstreams()
+	n.configurePools(time.Now())
+}
+
 func (n *Node) setRoster(r *Roster) {
 	n.mu.Lock()
 	n.roster, n.rosterAt = r, time.Now()
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -49,6 +49,9 @@
 	link  *Link
 	entry gateway.Entry
 	hello *Hello
+	// informed says that the follower gets the records of upstreams. One that places no requests needs none, and with
+	// hundreds of entries and thousands of upstreams their snapshots would fill the leader's link.
+	informed bool
 
 	activity activity
 }
@@ -141,11 +144,37 @@
 // deliverBatch folds a batch of the store and passes on what the followers need of it.
 func (l *leadership) deliverBatch(b gateway.Batch, disturbed bool) {
 	changed := l.node.apply(b, disturbed)
-	if len(changed.Updates) > 0 || changed.Snapshot {
-		l.broadcast(func(f *Frame) { f.Batches = append(f.Batches, changed) })
+	if len(changed.Updates) == 0 && !changed.Snapshot {
+		return
+	}
+	for _, f := range l.currentFollowers() {
+		if b.Source != gateway.Upstreams || l.isInformed(f) {
+			f.link.Queue(func(f *Frame) { f.Batches = append(f.Batches, changed) })
+		}
 	}
 }
 
+func (l *leadership) isInformed(f *follower) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return f.informed
+}
+
+// inform sends the records of upstreams to a follower that has begun to place requests, and the changes from then on.
+func (l *leadership) inform(now time.Time, f *follower) {
+	l.mu.Lock()
+	informed := f.informed
+	f.informed = true
+	l.mu.Unlock()
+	if informed {
+		return
+	}
+	l.node.mu.Lock()
+	batch := l.node.world.SnapshotOf(now, gateway.Upstreams)
+	l.node.mu.Unlock()
+	f.link.Queue(func(frame *Frame) { frame.Batches = append(frame.Batches, batch) })
+}
+
 func (l *leadership) broadcast(change func(*Frame)) {
 	for _, f := range l.currentFollowers() {
 		f.link.Queue(change)
@@ -328,6 +357,7 @@
 	if len(frame.Asks) > 0 {
 		f.activity.note(now)
 		l.coordinator.Submit(now, f, frame.Asks...)
+		l.inform(now, f)
 	}
 	if len(frame.Cancels) > 0 {
 		l.coordinator.Cancel(f, frame.Cancels...)
@@ -348,7 +378,10 @@
 	if first {
 		l.coordinator.Adopt(now, f, h.Running)
 		l.node.mu.Lock()
-		batches := l.node.world.Snapshot(now)
+		var batches []gateway.Batch
+		for _, source := range []gateway.Source{gateway.Operators, gateway.Statuses, gateway.Entries} {
+			batches = append(batches, l.node.world.SnapshotOf(now, source))
+		}
 		l.node.mu.Unlock()
 		f.link.Queue(func(frame *Frame) {
 			frame.Batches = append(batches, frame.Batches...)
--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -98,7 +98,8 @@
 func (n *Node) Ready() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return !n.leaving && n.world.Config != nil && len(n.world.Upstreams) > 0
+	_, follows := n.session.(*linkSession)
+	return !n.leaving && n.world.Config != nil && (follows || len(n.world.Upstreams) > 0)
 }
 
 // Handler serves links, questions for the leader and relayed calls to the store from other entries.
--- a/internal/gateway/world.go
+++ b/internal/gateway/world.go
@@ -261,31 +261,53 @@
 	}
 }
 
-// Snapshot returns the whole World as batches, for an entry that joins.
+// Snapshot returns the whole World as batches.
 func (w *World) Snapshot(now time.Time) []Batch {
-	operators := Batch{Source: Operators, Snapshot: true, End: w.Ends[Operators]}
+	out := make([]Batch, 0, sourceCount)
+	for source := range sourceCount {
+		out = append(out, w.SnapshotOf(now, source))
+	}
+	return out
+}
+
+// SnapshotOf returns what is known from one source as a batch, for an entry that joins.
+func (w *World) SnapshotOf(now time.Time, source Source) Batch {
+	b := Batch{Source: source, Snapshot: true, End: w.Ends[source]}
+	switch source {
+	case Operators:
+		w.addOrders(now, &b)
+	case Upstreams:
+		for id, u := range w.Upstreams {
+			b.add(w, id, Update{Up: &u})
+		}
+	case Statuses:
+		for name, s := range w.Statuses {
+			b.add(w, MoveKey+name, Update{Status: &s})
+		}
+	case Entries:
+		for name, e := range w.Entries {
+			b.add(w, name, Update{Entry: &e})
+		}
+	}
+	return b
+}
+
+// ForgetUpstreams drops what is known of upstreams, because it may be out of date.
+func (w *World) ForgetUpstreams() {
+	w.Upstreams, w.Tombstones = map[string]Upstream{}, map[string]Tombstone{}
+	w.offsets[Upstreams] = map[string]int64{}
+}
+
+func (w *World) addOrders(now time.Time, b *Batch) {
 	if w.Config != nil {
-		operators.add(w, ConfigKey, Update{Config: w.Config})
+		b.add(w, ConfigKey, Update{Config: w.Config})
 	}
 	for name, m := range w.Moves {
-		operators.add(w, MoveKey+name, Update{Move: &m, Age: now.Sub(w.MoveSeen[name])})
+		b.add(w, MoveKey+name, Update{Move: &m, Age: now.Sub(w.MoveSeen[name])})
 	}
 	for zone := range w.Evacuated {
-		operators.add(w, EvacuateKey+zone, Update{Evacuee: zone})
-	}
-	upstreams := Batch{Source: Upstreams, Snapshot: true, End: w.Ends[Upstreams]}
-	for id, u := range w.Upstreams {
-		upstreams.add(w, id, Update{Up: &u})
-	}
-	statuses := Batch{Source: Statuses, Snapshot: true, End: w.Ends[Statuses]}
-	for name, s := range w.Statuses {
-		statuses.add(w, MoveKey+name, Update{Status: &s})
-	}
-	entries := Batch{Source: Entries, Snapshot: true, End: w.Ends[Entries]}
-	for name, e := range w.Entries {
-		entries.add(w, name, Update{Entry: &e})
+		b.add(w, EvacuateKey+zone, Update{Evacuee: zone})
 	}
-	return []Batch{operators, upstreams, statuses, entries}
 }
 
 func (b *Batch) add(w *World, key string, u Update) {
