--- a/cmd/boragehinge-entry/run.go
+++ b/cmd/boragehinge-entry/run.go
@@ -68,7 +68,7 @@
 	if err != nil {
 		return err
 	}
-	log.Info().Str("event", "start").Str("node", settings.Node).Str("zone", settings.Zone).Str("callers", settings.Listen.Callers).
+	log.Info().Str("event", "start").Str("node", settings.Node).Str("data_centre", settings.Zone).Str("callers", settings.Listen.Callers).
 		Float64("cpu_share", settings.Limits.CPUShare).Bool("bootstrap", settings.Bootstrap).Msg("starts")
 	e := newEntry(settings, f, log)
 	if err := e.serve(ctx, f); err != nil {
@@ -88,7 +88,7 @@
 	}
 	e.node = coordinator.NewNode(coordinator.Options{
 		Self: gateway.Entry{
-			Name: s.Node, Zone: s.Zone, Callers: s.Listen.Callers, Peer: s.Listen.Peers, CPUShare: s.Limits.CPUShare,
+			Name: s.Node, DataCentre: s.Zone, Callers: s.Listen.Callers, Peer: s.Listen.Peers, CPUShare: s.Limits.CPUShare,
 		},
 		Seeds: s.Seeds, Store: platform.NewStore(s.Store.Address), Probe: prober.Run, Log: log, Bootstrap: s.Bootstrap,
 		Limits: coordinator.Limits{
@@ -100,7 +100,7 @@
 		IdleTimeout: upstreamIdle, RecentResponse: freshConnection,
 	})
 	e.server = ingress.NewServer(ingress.Options{
-		Zone: s.Zone, Names: names, Placer: e.node, Transport: e.transport, Decisions: e.decisions,
+		DataCentre: s.Zone, Names: names, Placer: e.node, Transport: e.transport, Decisions: e.decisions,
 		Metrics: ingress.NewMetrics(e.registry), Log: log,
 	})
 	return e
--- a/internal/coordinator/cluster_test.go
+++ b/internal/coordinator/cluster_test.go
@@ -161,7 +161,7 @@
 	m := &member{gate: &gate{Store: platform.NewStore(c.address), wake: make(chan struct{})}, done: make(chan struct{})}
 	peer := listener.Addr().String()
 	m.node = NewNode(Options{
-		Self:   gateway.Entry{Name: name, Zone: "z1", Callers: "callers-" + name, Peer: peer, CPUShare: 0.3},
+		Self:   gateway.Entry{Name: name, DataCentre: "z1", Callers: "callers-" + name, Peer: peer, CPUShare: 0.3},
 		Store:  m.gate,
 		Limits: Limits{RetryRatio: 0.2, RetryBurst: 60, RetryWindow: 10 * time.Second},
 		Log:    zerolog.Nop(),
@@ -235,7 +235,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
 	now := time.Now()
-	return n.Place(ctx, Ask{Service: "s", Route: "r", Zone: "z1", Attempt: 1}, now.Add(time.Second), now.Add(2*time.Second))
+	return n.Place(ctx, Ask{Service: "s", Route: "r", DataCentre: "z1", Attempt: 1}, now.Add(time.Second), now.Add(2*time.Second))
 }
 
 // Guards against a configuration that is late while the store doesn't answer the leader but serves others (trouble-1 of
@@ -341,7 +341,7 @@
 	c := startCluster(t, 4)
 	leader := c.leader()
 	named := leader.node.Addresses("z1")
-	require.Len(t, named, namedPerZone)
+	require.Len(t, named, namedPerDataCentre)
 	for _, m := range c.members {
 		if m.node.o.Self.Callers == named[0] {
 			m.node.Leave()
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -113,8 +113,8 @@
 		return
 	}
 	spec.Upstreams = append(spec.Upstreams, placement.UpstreamSpec{
-		ID: u.ID, Address: u.Address, Zone: u.Zone, Version: u.Version, Slots: u.Slots, ColdLeft: u.ColdLeft, Born: u.Born,
-		Closed: closed || w.Evacuated[u.Zone],
+		ID: u.ID, Address: u.Address, DataCentre: u.DataCentre, Version: u.Version, Slots: u.Slots, ColdLeft: u.ColdLeft, Born: u.Born,
+		Closed: closed || w.Evacuated[u.DataCentre],
 	})
 	specs[u.Service] = spec
 }
--- a/internal/coordinator/follow.go
+++ b/internal/coordinator/follow.go
@@ -150,11 +150,11 @@
 const rosterLifetime = 3 * time.Second
 
 // Addresses returns the addresses for a caller in a data centre.
-func (n *Node) Addresses(zone string) []string {
+func (n *Node) Addresses(dataCentre string) []string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.roster != nil && time.Since(n.rosterAt) < rosterLifetime {
-		if named := n.roster.Callers[zone]; len(named) > 0 {
+		if named := n.roster.Callers[dataCentre]; len(named) > 0 {
 			return named
 		}
 		for _, named := range n.roster.Callers {
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -40,7 +40,7 @@
 	RequestID     string        `cbor:"2,keyasint"`
 	Service       string        `cbor:"3,keyasint"`
 	Route         string        `cbor:"4,keyasint"`
-	Zone          string        `cbor:"5,keyasint"`
+	DataCentre    string        `cbor:"5,keyasint"`
 	Large         bool          `cbor:"6,keyasint,omitempty"`
 	Priority      int           `cbor:"7,keyasint,omitempty"`
 	ObjectiveLeft time.Duration `cbor:"8,keyasint"`
@@ -52,7 +52,7 @@
 
 func (a *Ask) placementAsk(now time.Time, id uint64) placement.Ask {
 	return placement.Ask{
-		ID: id, RequestID: a.RequestID, Route: a.Route, Zone: a.Zone, Large: a.Large, Priority: a.Priority,
+		ID: id, RequestID: a.RequestID, Route: a.Route, DataCentre: a.DataCentre, Large: a.Large, Priority: a.Priority,
 		Objective: now.Add(a.ObjectiveLeft), Deadline: now.Add(a.DeadlineLeft), Attempt: a.Attempt, Exclude: a.Exclude,
 		Fingerprint: a.Fingerprint,
 	}
--- a/internal/coordinator/roster.go
+++ b/internal/coordinator/roster.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	// namedPerZone is the least number of entries of each data centre that callers are sent to. Two keep a data centre
+	// namedPerDataCentre is the least number of entries of each data centre that callers are sent to. Two keep a data centre
 	// served when one is lost, and few keep connections to upstreams warm.
-	namedPerZone = 2
+	namedPerDataCentre = 2
 	// requestCost is the processor time of one request at the entry that callers connect to, in seconds.
 	requestCost = 0.0007
 	// namedHeadroom is the capacity of the named entries relative to the load of late, for bursts and lost entries.
@@ -94,24 +94,24 @@
 
 // chooseNamed names entries in each data centre for a load of rate requests per second.
 func (l *leadership) chooseNamed(rate float64) map[string][]string {
-	byZone := map[string][]candidate{}
+	byDataCentre := map[string][]candidate{}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for f := range l.followers {
 		if !f.hello.Leaving {
-			byZone[f.entry.Zone] = append(byZone[f.entry.Zone], candidate{f.entry, f.entry.CPUShare})
+			byDataCentre[f.entry.DataCentre] = append(byDataCentre[f.entry.DataCentre], candidate{f.entry, f.entry.CPUShare})
 		}
 	}
 	if self := l.node.o.Self; !l.stopping {
-		byZone[self.Zone] = append(byZone[self.Zone], candidate{self, self.CPUShare * leaderShare})
+		byDataCentre[self.DataCentre] = append(byDataCentre[self.DataCentre], candidate{self, self.CPUShare * leaderShare})
 	}
-	need := rate * requestCost * namedHeadroom / float64(max(1, len(byZone)))
-	for zone, entries := range byZone {
-		l.named[zone] = nameEntries(l.named[zone], entries, need)
+	need := rate * requestCost * namedHeadroom / float64(max(1, len(byDataCentre)))
+	for dataCentre, entries := range byDataCentre {
+		l.named[dataCentre] = nameEntries(l.named[dataCentre], entries, need)
 	}
-	for zone := range l.named {
-		if len(byZone[zone]) == 0 {
-			delete(l.named, zone)
+	for dataCentre := range l.named {
+		if len(byDataCentre[dataCentre]) == 0 {
+			delete(l.named, dataCentre)
 		}
 	}
 	return maps.Clone(l.named)
@@ -133,7 +133,7 @@
 		}
 		return precedes(a.entry, b.entry)
 	})
-	n := min(namedPerZone, len(live))
+	n := min(namedPerDataCentre, len(live))
 	for n < len(live) && float64(n)*live[n-1].share < need {
 		n++
 	}
--- a/internal/gateway/world.go
+++ b/internal/gateway/world.go
@@ -7,16 +7,16 @@
 
 // Upstream is one registered process of a service.
 type Upstream struct {
-	ID       string        `cbor:"1,keyasint"`
-	Service  string        `cbor:"2,keyasint"`
-	Address  string        `cbor:"3,keyasint"`
-	Zone     string        `cbor:"4,keyasint"` // data centre
-	Version  string        `cbor:"5,keyasint"`
-	Slots    int           `cbor:"6,keyasint"`
-	Draining bool          `cbor:"7,keyasint"`
-	ColdLeft time.Duration `cbor:"8,keyasint"` // remaining cold start when the record was written
-	Seq      uint64        `cbor:"9,keyasint"`
-	Born     int64         `cbor:"10,keyasint"` // Unix milliseconds of its start; 0 when unknown
+	ID         string        `cbor:"1,keyasint"`
+	Service    string        `cbor:"2,keyasint"`
+	Address    string        `cbor:"3,keyasint"`
+	DataCentre string        `cbor:"4,keyasint"` // data centre
+	Version    string        `cbor:"5,keyasint"`
+	Slots      int           `cbor:"6,keyasint"`
+	Draining   bool          `cbor:"7,keyasint"`
+	ColdLeft   time.Duration `cbor:"8,keyasint"` // remaining cold start when the record was written
+	Seq        uint64        `cbor:"9,keyasint"`
+	Born       int64         `cbor:"10,keyasint"` // Unix milliseconds of its start; 0 when unknown
 }
 
 // sameState reports whether the two records differ in heartbeat fields only.
@@ -56,11 +56,11 @@
 
 // Entry is one process of this system as it announces itself to the others.
 type Entry struct {
-	Name     string  `cbor:"1,keyasint"`
-	Zone     string  `cbor:"2,keyasint"`
-	Callers  string  `cbor:"3,keyasint"` // address for callers
-	Peer     string  `cbor:"4,keyasint"` // address for other entries
-	CPUShare float64 `cbor:"5,keyasint"` // share of a core
+	Name       string  `cbor:"1,keyasint"`
+	DataCentre string  `cbor:"2,keyasint"`
+	Callers    string  `cbor:"3,keyasint"` // address for callers
+	Peer       string  `cbor:"4,keyasint"` // address for other entries
+	CPUShare   float64 `cbor:"5,keyasint"` // share of a core
 }
 
 // Source names the log that an update comes from.
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -143,7 +143,7 @@
 
 func (x *exchange) ask() coordinator.Ask {
 	return coordinator.Ask{
-		RequestID: x.id, Service: x.service, Route: x.route.Name, Zone: x.s.o.Zone, Large: x.route.Kind == gateway.Download,
+		RequestID: x.id, Service: x.service, Route: x.route.Name, DataCentre: x.s.o.DataCentre, Large: x.route.Kind == gateway.Download,
 		Priority: x.route.Priority, Attempt: 1 + x.attempts + x.refusals, Exclude: x.exclude, Fingerprint: x.print,
 	}
 }
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -105,7 +105,7 @@
 	names := platform.Names()
 	tr := transport.New(transport.Config{NotRun: names.Refused, Belongs: names.Belongs, AcceptUndelimited: true})
 	r.server = ingress.NewServer(ingress.Options{
-		Zone: "z", Names: names, Placer: r.placer, Transport: tr, Decisions: telemetry.NewDecisionLog(io.Discard, 100),
+		DataCentre: "z", Names: names, Placer: r.placer, Transport: tr, Decisions: telemetry.NewDecisionLog(io.Discard, 100),
 		Metrics: ingress.NewMetrics(prometheus.NewRegistry()), Log: zerolog.Nop(),
 	})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -26,13 +26,13 @@
 
 // Options describe a Server.
 type Options struct {
-	Zone      string // data centre of this entry
-	Names     headers.Names
-	Placer    Placer
-	Transport *transport.Transport
-	Decisions *telemetry.DecisionLog
-	Metrics   *Metrics
-	Log       zerolog.Logger
+	DataCentre string // data centre of this entry
+	Names      headers.Names
+	Placer     Placer
+	Transport  *transport.Transport
+	Decisions  *telemetry.DecisionLog
+	Metrics    *Metrics
+	Log        zerolog.Logger
 }
 
 // Server accepts connections of callers.
--- a/internal/placement/load_test.go
+++ b/internal/placement/load_test.go
@@ -71,7 +71,7 @@
 	spec := Spec{ColdPerSecond: 21, RetryRatio: 0.2, RetryBurst: 60, RetryWindow: 10 * time.Second}
 	for i := range upstreams {
 		id := fmt.Sprintf("u%02d", i)
-		spec.Upstreams = append(spec.Upstreams, UpstreamSpec{ID: id, Address: id, Zone: "z", Version: "v1", Slots: slots})
+		spec.Upstreams = append(spec.Upstreams, UpstreamSpec{ID: id, Address: id, DataCentre: "z", Version: "v1", Slots: slots})
 		s.pace[id] = 1
 	}
 	s.pool.Configure(s.now, spec)
@@ -116,7 +116,7 @@
 	id := s.next
 	s.calls[id] = &simCall{arrived: s.now}
 	s.take(s.pool.Submit(s.now, Ask{
-		ID: id, Route: "r", Zone: "z", Priority: int(id % 2), Objective: s.now.Add(s.objective), Deadline: s.now.Add(s.deadline), Attempt: 1,
+		ID: id, Route: "r", DataCentre: "z", Priority: int(id % 2), Objective: s.now.Add(s.objective), Deadline: s.now.Add(s.deadline), Attempt: 1,
 	}))
 }
 
@@ -224,7 +224,7 @@
 		spec := Spec{RetryWindow: time.Second}
 		for i := range 30 {
 			id := fmt.Sprint(i)
-			spec.Upstreams = append(spec.Upstreams, UpstreamSpec{ID: id, Address: id, Zone: "z", Slots: 20})
+			spec.Upstreams = append(spec.Upstreams, UpstreamSpec{ID: id, Address: id, DataCentre: "z", Slots: 20})
 		}
 		p.Configure(epoch, spec)
 		p.base["r"] = 10 * time.Millisecond
@@ -236,7 +236,7 @@
 		}
 		for i := range waiting {
 			p.Submit(epoch, Ask{
-				ID: uint64(i + 1), Route: "r", Zone: "z", Objective: epoch.Add(50 * time.Millisecond), Deadline: epoch.Add(time.Minute),
+				ID: uint64(i + 1), Route: "r", DataCentre: "z", Objective: epoch.Add(50 * time.Millisecond), Deadline: epoch.Add(time.Minute),
 			})
 		}
 		require.Equal(t, waiting, p.Waiting())
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -201,7 +201,7 @@
 			continue
 		}
 		cost := p.predict(now, c, u) + time.Duration(p.rng.Int64N(int64(time.Millisecond)))
-		if u.spec.Zone != c.ask.Zone {
+		if u.spec.DataCentre != c.ask.DataCentre {
 			if c.ask.Large {
 				cost += nearBonusLarge
 			} else {
@@ -419,10 +419,10 @@
 
 // Status describes one upstream.
 type Status struct {
-	ID, Address, Zone, Version string
-	Slots, Running             int
-	Pace, Slowdown, Failures   float64
-	Usable, Cold, Closed       bool
+	ID, Address, DataCentre, Version string
+	Slots, Running                   int
+	Pace, Slowdown, Failures         float64
+	Usable, Cold, Closed             bool
 }
 
 // Upstreams returns the status of each upstream, ordered by ID.
@@ -430,7 +430,7 @@
 	out := make([]Status, 0, len(p.order))
 	for _, u := range p.order {
 		out = append(out, Status{
-			ID: u.spec.ID, Address: u.spec.Address, Zone: u.spec.Zone, Version: u.spec.Version, Slots: u.spec.Slots,
+			ID: u.spec.ID, Address: u.spec.Address, DataCentre: u.spec.DataCentre, Version: u.spec.Version, Slots: u.spec.Slots,
 			Running: len(u.running), Pace: u.pace, Slowdown: u.slowdown(now, p.averagePace), Failures: u.failures,
 			Usable: u.usable(now, p.spec.Unprobed), Cold: u.cold(now), Closed: u.spec.Closed,
 		})
--- a/internal/placement/pool_test.go
+++ b/internal/placement/pool_test.go
@@ -29,7 +29,7 @@
 }
 
 func up(id string) UpstreamSpec {
-	return UpstreamSpec{ID: id, Address: id, Zone: "z", Version: "v1", Slots: 6}
+	return UpstreamSpec{ID: id, Address: id, DataCentre: "z", Version: "v1", Slots: 6}
 }
 
 func (f *fixture) healthy(id string) {
@@ -38,7 +38,7 @@
 
 func (f *fixture) ask(change func(*Ask)) (Decisions, uint64) {
 	f.next++
-	a := Ask{ID: f.next, Route: "r", Zone: "z", Attempt: 1, Objective: f.now.Add(250 * time.Millisecond), Deadline: f.now.Add(time.Second)}
+	a := Ask{ID: f.next, Route: "r", DataCentre: "z", Attempt: 1, Objective: f.now.Add(250 * time.Millisecond), Deadline: f.now.Add(time.Second)}
 	if change != nil {
 		change(&a)
 	}
@@ -214,7 +214,7 @@
 
 // Guards against more urgent requests that are served after less urgent ones.
 func TestUrgentRequestsGoFirst(t *testing.T) {
-	f := newFixture(UpstreamSpec{ID: "a", Address: "a", Zone: "z", Version: "v1", Slots: 1})
+	f := newFixture(UpstreamSpec{ID: "a", Address: "a", DataCentre: "z", Version: "v1", Slots: 1})
 	f.base["r"] = 20 * time.Millisecond
 	_, first := f.ask(nil)
 	_, _ = f.ask(func(a *Ask) { a.Priority = 2 })
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -4,11 +4,11 @@
 
 // UpstreamSpec describes one upstream.
 type UpstreamSpec struct {
-	ID, Address, Zone, Version string
-	Slots                      int
-	ColdLeft                   time.Duration // remaining cold start at the time of Configure
-	Born                       int64         // changes with each start of the process
-	Closed                     bool          // gets no new request: it leaves, or its data centre is taken out
+	ID, Address, DataCentre, Version string
+	Slots                            int
+	ColdLeft                         time.Duration // remaining cold start at the time of Configure
+	Born                             int64         // changes with each start of the process
+	Closed                           bool          // gets no new request: it leaves, or its data centre is taken out
 }
 
 // Spec is the configuration of a pool.
@@ -29,7 +29,7 @@
 	ID          uint64
 	RequestID   string
 	Route       string
-	Zone        string // data centre of the entry that holds the request
+	DataCentre  string // data centre of the entry that holds the request
 	Large       bool   // the response is large, so a near upstream is preferred
 	Priority    int    // 0 is the highest
 	Objective   time.Time
