Keep one way to wait, and read the bounds that the decisions need from the settings

Cause: three packages had the same function to wait, the settings named a dozen bounds that nothing read, and the share of a version on trial, the addresses' lifetime and the rate of probes ignored theirs. Change: internal/pause waits; a trial uses 0.3 of the bound on a bad version, addresses live at most ttl_max, and probes use at most half of their bound.

--- a/cmd/boragehinge-entry/run.go
+++ b/cmd/boragehinge-entry/run.go
@@ -27,9 +27,9 @@
 
 const (
 	defaultProbeInterval = 40 * time.Millisecond
-	// addressTTL is how long callers keep addresses. Some keep them three times as long, and an entry that stops serves
+	// wantedTTL is how long callers keep addresses. Some keep them three times as long, and an entry that stops serves
 	// them for that time.
-	addressTTL = 1500 * time.Millisecond
+	wantedTTL = 1500 * time.Millisecond
 	// serveAfterStop is the part of the time until the process is killed in which new connections are still served.
 	serveAfterStop = 0.78
 	// stopMargin is kept from the time until the process is killed.
@@ -83,16 +83,18 @@
 	e := &entry{
 		settings: s, log: log, decisions: telemetry.NewDecisionLog(os.Stdout, f.decisionLines), registry: prometheus.NewRegistry(),
 	}
+	least := probeInterval(f.probeInterval, s.Bounds.ProbesPerS)
 	prober := &probe.Prober{
-		Headers: names, Interval: func() time.Duration { return e.node.ProbeInterval(f.probeInterval) },
+		Headers: names, Interval: func() time.Duration { return e.node.ProbeInterval(least) },
 	}
 	e.node = coordinator.NewNode(coordinator.Options{
 		Self: gateway.Entry{
 			Name: s.Node, DataCentre: s.Zone, Callers: s.Listen.Callers, Peer: s.Listen.Peers, CPUShare: s.Limits.CPUShare,
 		},
-		Seeds: s.Seeds, Store: platform.NewStore(s.Store.Address), Probe: prober.Run, Log: log, Bootstrap: s.Bootstrap,
+		Seeds: s.Seeds, Store: platform.NewStore(s.Store.Address), Probe: prober.Run, Log: log,
 		Limits: coordinator.Limits{
 			RetryRatio: s.Bounds.RetryRatio, RetryBurst: s.Bounds.RetryBurst, RetryWindow: time.Duration(s.Bounds.RetryWindow),
+			BadShare: s.Bounds.BadShare, BadSlack: s.Bounds.BadSlack,
 		},
 	})
 	e.transport = transport.New(transport.Config{
@@ -106,6 +108,25 @@
 	return e
 }
 
+// probeShare is the part of the bound on probes that one leader uses, as two may probe for a moment.
+const probeShare = 0.5
+
+// probeInterval is the wanted interval, or a longer one that keeps the bound on probes per second and upstream.
+func probeInterval(wanted time.Duration, perSecond float64) time.Duration {
+	if perSecond <= 0 {
+		return wanted
+	}
+	return max(wanted, time.Duration(float64(time.Second)/(probeShare*perSecond)))
+}
+
+// addressTTL is how long callers may keep an answer.
+func (e *entry) addressTTL() time.Duration {
+	if longest := time.Duration(e.settings.Bounds.AddressTTL); longest > 0 {
+		return min(wantedTTL, longest)
+	}
+	return wantedTTL
+}
+
 // serve runs until ctx ends and then stops in an orderly way.
 func (e *entry) serve(ctx context.Context, f *flags) error {
 	callers, err := net.Listen("tcp", e.settings.Listen.Callers)
@@ -117,7 +138,7 @@
 	defer cancel()
 	e.serveHTTP(e.settings.Listen.Peers, e.node.Handler(), failed)
 	e.serveHTTP(e.settings.Listen.Ready, platform.ReadyHandler(e.node.Ready), failed)
-	e.serveHTTP(e.settings.Listen.Addresses, platform.AddressHandler(e.node.Addresses, addressTTL), failed)
+	e.serveHTTP(e.settings.Listen.Addresses, platform.AddressHandler(e.node.Addresses, e.addressTTL()), failed)
 	if f.metricsPort != 0 {
 		host, _, _ := net.SplitHostPort(e.settings.Listen.Callers)
 		e.serveHTTP(net.JoinHostPort(host, strconv.Itoa(f.metricsPort)), promhttp.HandlerFor(e.registry, promhttp.HandlerOpts{}), failed)
--- a/internal/coordinator/cluster_test.go
+++ b/internal/coordinator/cluster_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"boragehinge.example/boragehinge/internal/gateway"
+	"boragehinge.example/boragehinge/internal/pause"
 	"boragehinge.example/boragehinge/internal/placement"
 	"boragehinge.example/boragehinge/platform"
 	"boragehinge.example/boragehinge/platform/standin"
@@ -151,7 +152,7 @@
 		for i := range 4 {
 			c.store.Put("keyed.servers", fmt.Sprintf("u%d", i), fmt.Appendf(nil, upstreamJSON, 9000+i, 1, "v1", "ready", seq))
 		}
-		sleepFor(ctx, 100*time.Millisecond)
+		pause.For(ctx, 100*time.Millisecond)
 	}
 }
 
@@ -163,12 +164,12 @@
 	m.node = NewNode(Options{
 		Self:   gateway.Entry{Name: name, DataCentre: "z1", Callers: "callers-" + name, Peer: peer, CPUShare: 0.3},
 		Store:  m.gate,
-		Limits: Limits{RetryRatio: 0.2, RetryBurst: 60, RetryWindow: 10 * time.Second},
+		Limits: Limits{RetryRatio: 0.2, RetryBurst: 60, RetryWindow: 10 * time.Second, BadShare: 0.1, BadSlack: 50},
 		Log:    zerolog.Nop(),
 		Probe: func(ctx context.Context, target ProbeTarget, report func(placement.Probe)) {
 			for ctx.Err() == nil {
 				report(placement.Probe{Upstream: target.ID, Answered: true, Healthy: true, Load: &placement.Load{Slots: 6, Pace: 1}})
-				sleepFor(ctx, 20*time.Millisecond)
+				pause.For(ctx, 20*time.Millisecond)
 			}
 		},
 	})
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -21,6 +21,9 @@
 	RetryRatio  float64
 	RetryBurst  float64
 	RetryWindow time.Duration
+	// BadShare and BadSlack bound the requests that a bad version may get during its move.
+	BadShare float64
+	BadSlack float64
 }
 
 // unprobedInFlight is the number of requests that an entry without a leader sends to one upstream at a time.
@@ -78,7 +81,7 @@
 	for name, s := range w.Config.Services {
 		spec := placement.Spec{
 			ColdPerSecond: s.ColdPerSecond, RetryRatio: c.limits.RetryRatio, RetryBurst: c.limits.RetryBurst,
-			RetryWindow: c.limits.RetryWindow, Unprobed: c.alone,
+			RetryWindow: c.limits.RetryWindow, BadShare: c.limits.BadShare, BadSlack: c.limits.BadSlack, Unprobed: c.alone,
 		}
 		if c.alone {
 			spec.MaxInFlight = unprobedInFlight
--- a/internal/coordinator/elect.go
+++ b/internal/coordinator/elect.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"boragehinge.example/boragehinge/internal/gateway"
+	"boragehinge.example/boragehinge/internal/pause"
 )
 
 const (
@@ -110,7 +111,7 @@
 		self = false
 	}
 	if address == "" && !self {
-		sleepFor(ctx, retryPause)
+		pause.For(ctx, retryPause)
 	}
 	return address, self
 }
@@ -200,7 +201,7 @@
 		if time.Since(l.since) < newLeaderTime {
 			interval = newLeaderInterval
 		}
-		sleepFor(ctx, interval)
+		pause.For(ctx, interval)
 		followers := len(l.currentFollowers())
 		answers := askAll(ctx, append(n.candidates(), n.randomEntry()...))
 		for _, a := range append(answers, askAll(ctx, rivals(n.o.Self, answers))...) {
--- a/internal/coordinator/follow.go
+++ b/internal/coordinator/follow.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"boragehinge.example/boragehinge/internal/gateway"
+	"boragehinge.example/boragehinge/internal/pause"
 	"boragehinge.example/boragehinge/internal/placement"
 )
 
@@ -28,7 +29,7 @@
 	link, err := DialLink(ctx, address)
 	if err != nil {
 		n.log.Info().Str("leader", address).Err(err).Msg("leader not reached")
-		sleepFor(ctx, 20*time.Millisecond)
+		pause.For(ctx, 20*time.Millisecond)
 		return
 	}
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -11,6 +11,7 @@
 
 	"boragehinge.example/boragehinge/internal/feed"
 	"boragehinge.example/boragehinge/internal/gateway"
+	"boragehinge.example/boragehinge/internal/pause"
 	"boragehinge.example/boragehinge/internal/placement"
 )
 
@@ -82,7 +83,7 @@
 // lead runs until ctx ends, or another entry should lead.
 func (n *Node) lead(ctx context.Context) {
 	if n.Leaving() {
-		sleepFor(ctx, 100*time.Millisecond)
+		pause.For(ctx, 100*time.Millisecond)
 		return
 	}
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -12,6 +12,7 @@
 
 	"boragehinge.example/boragehinge/internal/feed"
 	"boragehinge.example/boragehinge/internal/gateway"
+	"boragehinge.example/boragehinge/internal/pause"
 	"boragehinge.example/boragehinge/internal/placement"
 )
 
@@ -32,20 +33,18 @@
 
 // Options describe one entry.
 type Options struct {
-	Self      gateway.Entry
-	Seeds     []string // peers' addresses that may be out of date
-	Store     Store
-	Limits    Limits
-	Probe     ProbeFunc
-	Log       zerolog.Logger
-	Bootstrap bool
+	Self   gateway.Entry
+	Seeds  []string // peers' addresses that may be out of date
+	Store  Store
+	Limits Limits
+	Probe  ProbeFunc
+	Log    zerolog.Logger
 }
 
 // Node is one entry's part in the placement of requests.
 type Node struct {
-	o     Options
-	log   zerolog.Logger
-	start time.Time
+	o   Options
+	log zerolog.Logger
 
 	alone *Coordinator // used without a leader
 
@@ -68,7 +67,7 @@
 // NewNode returns a node; Run starts it.
 func NewNode(o Options) *Node {
 	n := &Node{
-		o: o, log: o.Log, start: time.Now(), world: gateway.NewWorld(), running: map[*handle]struct{}{},
+		o: o, log: o.Log, world: gateway.NewWorld(), running: map[*handle]struct{}{},
 		alone: NewCoordinator(o.Limits, true, o.Log),
 	}
 	n.session = newLocalSession(n.alone)
@@ -131,9 +130,9 @@
 // announce writes this entry's record until it is accepted.
 func (n *Node) announce(ctx context.Context) {
 	for start := time.Now(); !n.knowsEntries() && time.Since(start) < announceWait && ctx.Err() == nil; {
-		sleepFor(ctx, 50*time.Millisecond)
+		pause.For(ctx, 50*time.Millisecond)
 	}
-	for pause := 200 * time.Millisecond; ctx.Err() == nil; pause = min(2*pause, 2*time.Second) {
+	for wait := 200 * time.Millisecond; ctx.Err() == nil; wait = min(2*wait, 2*time.Second) {
 		n.mu.Lock()
 		known := n.world.Entries[n.o.Self.Name]
 		n.mu.Unlock()
@@ -145,7 +144,7 @@
 			return
 		}
 		n.log.Warn().Err(err).Msg("entry record not written")
-		sleepFor(ctx, pause)
+		pause.For(ctx, wait)
 	}
 }
 
@@ -159,11 +158,11 @@
 // tickAlone lets time pass for the pools that are used without a leader.
 func (n *Node) tickAlone(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause := aloneIdleTick
+		wait := aloneIdleTick
 		if s, ok := n.currentSession().(*localSession); ok && s.coordinator == n.alone {
-			pause = aloneTick
+			wait = aloneTick
 		}
-		sleepFor(ctx, pause)
+		pause.For(ctx, wait)
 		n.alone.Tick(time.Now())
 	}
 }
@@ -244,12 +243,3 @@
 	defer n.mu.Unlock()
 	return n.session
 }
-
-func sleepFor(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 
 	"boragehinge.example/boragehinge/internal/gateway"
+	"boragehinge.example/boragehinge/internal/pause"
 )
 
 // Store is the part of the platform's store that a Feed reads.
@@ -108,11 +109,11 @@
 		if batch.Snapshot || len(batch.Updates) > 0 {
 			f.Deliver(batch, f.disturbed())
 		}
-		pause := orderPause
+		wait := orderPause
 		if source == gateway.Upstreams {
-			pause = heartbeatPause
+			wait = heartbeatPause
 		}
-		sleep(ctx, pause)
+		pause.For(ctx, wait)
 	}
 }
 
@@ -164,7 +165,7 @@
 		f.Log.Warn().Str("dependency", "store").Err(err).Msg("dependency lost")
 		f.Restart()
 	}
-	sleep(ctx, retryPause)
+	pause.For(ctx, retryPause)
 	return position
 }
 
@@ -174,11 +175,11 @@
 	f.mu.Lock()
 	epoch := f.epoch
 	f.mu.Unlock()
-	pause := retryPause
+	wait := retryPause
 	if !f.healthy.Load() {
-		pause = maxOutageWait
+		wait = maxOutageWait
 	}
-	sleep(epoch, pause)
+	pause.For(epoch, wait)
 }
 
 func (f *Feed) succeeded(source gateway.Source) {
@@ -191,12 +192,3 @@
 func (f *Feed) disturbed() bool {
 	return time.Since(f.start)-time.Duration(f.lastTrouble.Load()) < lapseTime
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"boragehinge.example/boragehinge/internal/gateway"
+	"boragehinge.example/boragehinge/internal/pause"
 )
 
 // fakeStore answers from memory, with faults.
@@ -51,18 +52,18 @@
 	case refuse:
 		return gateway.Batch{}, nil, gateway.ErrNotDone
 	case silent:
-		sleep(ctx, wait+fakeTimeout)
+		pause.For(ctx, wait+fakeTimeout)
 		return gateway.Batch{}, nil, gateway.ErrUnknown
 	case expired:
 		return gateway.Batch{}, nil, gateway.ErrExpired
 	}
 	if source == gateway.Upstreams {
-		sleep(ctx, 20*time.Millisecond) // heartbeats arrive all the time
+		pause.For(ctx, 20*time.Millisecond) // heartbeats arrive all the time
 		end++
 		s.set(func(s *fakeStore) { s.end = end })
 		return gateway.Batch{Source: source, End: end, Updates: []gateway.Update{{Key: "u"}}}, nil, nil
 	}
-	sleep(ctx, wait)
+	pause.For(ctx, wait)
 	return gateway.Batch{Source: source, End: from}, nil, nil
 }
 
--- a/internal/placement/move.go
+++ b/internal/placement/move.go
@@ -8,9 +8,10 @@
 
 // Bounds of a move to a new version.
 const (
-	// trialShare is the part of the requests that a version on trial gets; the bound on a bad version is 0.1.
-	trialShare = 0.03
-	trialSlack = 12
+	// trialPart is the part of the bound on a bad version that its trial uses; the final phase and a second leader may use
+	// the rest.
+	trialPart      = 0.3
+	trialSlackPart = 0.25
 	// finalPhase is the time before the end of a move at which all traffic goes to the new version.
 	finalPhase = 1500 * time.Millisecond
 	// minFinal is how long all traffic goes to the new version at least, so that one that is bad under load shows it.
@@ -60,6 +61,7 @@
 	phase          MovePhase
 	deadline       time.Time
 	finalSince     time.Time
+	share, slack   float64 // of the requests that the trial may use
 	total, onTrial float64
 	stats          map[string]*versionStats // by route, of the new version
 	oldStats       versionStats
@@ -67,7 +69,10 @@
 
 // StartMove begins a move to a version, with the time that is left for it.
 func (p *Pool) StartMove(now time.Time, version string, left time.Duration) {
-	p.move = moveState{version: version, phase: Trial, deadline: now.Add(left), stats: map[string]*versionStats{}}
+	p.move = moveState{
+		version: version, phase: Trial, deadline: now.Add(left), stats: map[string]*versionStats{},
+		share: trialPart * p.spec.BadShare, slack: trialSlackPart * p.spec.BadSlack,
+	}
 }
 
 // SettleMove takes over the reported end of a move.
@@ -172,7 +177,7 @@
 // admits reports whether the version may get a request now.
 func (m *moveState) admits(version string) bool {
 	if m.phase == Trial && version == m.version {
-		return m.onTrial+1 <= trialShare*m.total+trialSlack
+		return m.onTrial+1 <= m.share*m.total+m.slack
 	}
 	return m.allows(version)
 }
--- a/internal/placement/pool_test.go
+++ b/internal/placement/pool_test.go
@@ -20,7 +20,7 @@
 
 func newFixture(upstreams ...UpstreamSpec) *fixture {
 	f := &fixture{Pool: New(rand.New(rand.NewPCG(1, 1))), now: epoch}
-	f.spec = Spec{Upstreams: upstreams, ColdPerSecond: 20, RetryRatio: 0.2, RetryBurst: 60, RetryWindow: 10 * time.Second}
+	f.spec = Spec{Upstreams: upstreams, ColdPerSecond: 20, RetryRatio: 0.2, RetryBurst: 60, RetryWindow: 10 * time.Second, BadShare: 0.1, BadSlack: 50}
 	f.Configure(f.now, f.spec)
 	for _, u := range upstreams {
 		f.healthy(u.ID)
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -18,6 +18,8 @@
 	RetryRatio    float64 // new attempts per request within RetryWindow, over all entries
 	RetryBurst    float64
 	RetryWindow   time.Duration
+	// BadShare and BadSlack bound the requests that a bad version may get during its move, as a share of all and beside it.
+	BadShare, BadSlack float64
 	// Unprobed allows upstreams that were not probed yet. An entry that places by itself has no probes.
 	Unprobed bool
 	// MaxInFlight bounds the requests of an upstream below its slots; 0 means no further bound.
--- a/internal/platform/backoff.go
+++ b/internal/platform/backoff.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"boragehinge.example/boragehinge/internal/pause"
 )
 
 // Backoff computes the delays between attempts: doubling from Min to Max, each drawn evenly from the upper half of its
@@ -40,12 +42,6 @@
 
 // Sleep waits for d or until ctx ends, and returns the error of ctx in the latter case.
 func Sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
+	pause.For(ctx, d)
+	return ctx.Err()
 }
--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -14,6 +14,7 @@
 
 	"boragehinge.example/boragehinge/internal/coordinator"
 	"boragehinge.example/boragehinge/internal/headers"
+	"boragehinge.example/boragehinge/internal/pause"
 	"boragehinge.example/boragehinge/internal/placement"
 )
 
@@ -42,7 +43,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		pause := p.Interval()
+		wait := p.Interval()
 		if err != nil {
 			r.close()
 			// A kept connection may have been closed or forgotten, so only a new one shows that the upstream is gone.
@@ -50,11 +51,11 @@
 				r.fresh = true
 				continue
 			}
-			pause = retryInterval
+			wait = retryInterval
 		}
 		r.fresh = err != nil
 		report(result)
-		sleep(ctx, pause*9/10+rand.N(pause/5+1)) //nolint:gosec // spreads probes
+		pause.For(ctx, wait*9/10+rand.N(wait/5+1)) //nolint:gosec // spreads probes
 	}
 }
 
@@ -161,12 +162,3 @@
 	}
 	return bytes.TrimRight(line, "\r\n"), nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
