--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -36,6 +36,7 @@
 	relay       *relayStore
 	cancel      context.CancelFunc
 	moves       *mover
+	beliefs     map[string]belief // by upstream; used by tickSlowly only
 	since       time.Time
 	rate        rateMeter
 
@@ -114,7 +115,7 @@
 func newLeadership(n *Node, cancel context.CancelFunc) *leadership {
 	l := &leadership{
 		node: n, log: n.log, coordinator: NewCoordinator(n.o.Limits, false, n.log), cancel: cancel,
-		since: time.Now(), followers: map[*follower]struct{}{}, probes: map[string]*probeRun{}, named: map[string][]string{},
+		since: time.Now(), beliefs: map[string]belief{}, followers: map[*follower]struct{}{}, probes: map[string]*probeRun{}, named: map[string][]string{},
 	}
 	l.relay = &relayStore{direct: n.o.Store, peers: l.peerAddresses, log: n.log}
 	l.feed = &feed.Feed{Store: l.relay, Deliver: l.deliverBatch, Log: n.log}
@@ -255,7 +256,7 @@
 func (l *leadership) tickSlowly(ctx context.Context) {
 	ticker := time.NewTicker(slowTick)
 	defer ticker.Stop()
-	var rosterAt time.Time
+	var rosterAt, beliefsAt time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -268,6 +269,10 @@
 				rosterAt = now
 				l.publishRoster(now)
 			}
+			if now.Sub(beliefsAt) >= beliefInterval {
+				beliefsAt = now
+				l.logBeliefs(now)
+			}
 		}
 	}
 }
