Show no statement on upstreams that wait for their first report after a start

Cause: status of a fresh dev installation showed each upstream as in progress, on trial after nothing: an upstream whose allowance is not full counted as on trial. Change: only one that was ejected before is on trial. Result: the test fails without the change; dispatch, operators and entry pass.

--- a/internal/dispatch/summary.go
+++ b/internal/dispatch/summary.go
@@ -75,7 +75,8 @@
 		s.Health, s.Reason = Cold, u.coldReason
 	case u.avoid:
 		s.Reason = "slower than its peers, used last"
-	case u.limited():
+	case u.limited() && u.ejectReason != "":
+		// One that only waits for its first report after a start or take-over is healthy.
 		s.Reason = "on trial after " + u.ejectReason
 	}
 	return s
