--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"boragehinge.example/boragehinge/internal/gateway"
 	"boragehinge.example/boragehinge/internal/placement"
 )
@@ -45,7 +43,6 @@
 type Coordinator struct {
 	limits Limits
 	alone  bool // places for one entry without probes
-	log    zerolog.Logger
 
 	mu sync.Mutex
 	// restricted says that other leaders may serve beside this one, so bounds that hold over all entries are not drawn on.
@@ -61,9 +58,9 @@
 }
 
 // NewCoordinator returns a coordinator without upstreams. alone says that it places for one entry that has no leader.
-func NewCoordinator(limits Limits, alone bool, log zerolog.Logger) *Coordinator {
+func NewCoordinator(limits Limits, alone bool) *Coordinator {
 	return &Coordinator{
-		limits: limits, alone: alone, log: log, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), //nolint:gosec // spreads load
+		limits: limits, alone: alone, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), //nolint:gosec // spreads load
 		pools: map[string]*placement.Pool{}, asks: map[uint64]submitted{}, byAsk: map[Client]map[uint64]uint64{},
 		grants: map[Client][]placement.Grant{}, refuse: map[Client][]placement.Refusal{},
 	}
--- a/internal/coordinator/follow.go
+++ b/internal/coordinator/follow.go
@@ -169,10 +169,3 @@
 	}
 	return []string{n.o.Self.Callers}
 }
-
-// Snapshot calls f with the world; f must not keep it.
-func (n *Node) Snapshot(f func(*gateway.World)) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	f(n.world)
-}
--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -68,7 +68,7 @@
 func NewNode(o Options) *Node {
 	n := &Node{
 		o: o, log: o.Log, world: gateway.NewWorld(), running: map[*handle]struct{}{},
-		alone: NewCoordinator(o.Limits, true, o.Log),
+		alone: NewCoordinator(o.Limits, true),
 	}
 	n.session = newLocalSession(n.alone)
 	return n
--- a/internal/coordinator/roster.go
+++ b/internal/coordinator/roster.go
@@ -27,20 +27,7 @@
 
 // precedes orders entries for leadership and naming: the larger host first, then by a hash that spreads data centres.
 func precedes(a, b gateway.Entry) int {
-	switch {
-	case a.CPUShare > b.CPUShare:
-		return -1
-	case a.CPUShare < b.CPUShare:
-		return 1
-	}
-	ha, hb := rank(a.Peer), rank(b.Peer)
-	switch {
-	case ha < hb:
-		return -1
-	case ha > hb:
-		return 1
-	}
-	return 0
+	return cmp.Or(cmp.Compare(b.CPUShare, a.CPUShare), cmp.Compare(rank(a.Peer), rank(b.Peer)))
 }
 
 func rank(address string) uint64 {
--- a/internal/gateway/world.go
+++ b/internal/gateway/world.go
@@ -261,15 +261,6 @@
 	}
 }
 
-// Snapshot returns the whole World as batches.
-func (w *World) Snapshot(now time.Time) []Batch {
-	out := make([]Batch, 0, sourceCount)
-	for source := range sourceCount {
-		out = append(out, w.SnapshotOf(now, source))
-	}
-	return out
-}
-
 // SnapshotOf returns what is known from one source as a batch, for an entry that joins.
 func (w *World) SnapshotOf(now time.Time, source Source) Batch {
 	b := Batch{Source: source, Snapshot: true, End: w.Ends[source]}
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -125,7 +125,8 @@
 	w.Apply(start, records(Statuses, Update{Key: MoveKey + "s", Offset: 0, Status: &MoveStatus{Service: "s", Version: "v2", State: MoveRunning}}), false)
 	w.Apply(start, records(Entries, Update{Key: "e", Offset: 0, Entry: &Entry{Name: "e"}}), false)
 	other := NewWorld()
-	for _, b := range w.Snapshot(start.Add(5 * time.Second)) {
+	for source := range sourceCount {
+		b := w.SnapshotOf(start.Add(5*time.Second), source)
 		other.Apply(start.Add(5*time.Second), b, false)
 	}
 	assert.Equal(t, w.Config, other.Config)
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -4,6 +4,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -91,21 +92,11 @@
 		}
 		p.order = append(p.order, u)
 	}
-	slices.SortFunc(p.order, func(a, b *upstream) int { return compareIDs(a.spec.ID, b.spec.ID) })
+	slices.SortFunc(p.order, func(a, b *upstream) int { return strings.Compare(a.spec.ID, b.spec.ID) })
 	p.dispatch(now, nil)
 	return p.out
 }
 
-func compareIDs(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 func (p *Pool) begin() {
 	p.out.Grants, p.out.Refusals = p.out.Grants[:0], p.out.Refusals[:0]
 }
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -130,9 +130,14 @@
 	return max(1, u.pace*fresh+average*(1-fresh))
 }
 
+// learnedSlowdown is the slowdown that latencies showed, which is forgotten with time.
+func (u *upstream) learnedSlowdown(now time.Time) float64 {
+	return 1 + (u.slow-1)*math.Exp2(-float64(now.Sub(u.slowAt))/float64(slowMemory))
+}
+
 // slowdown is the factor by which work takes longer than usual at present. average is the pace of all upstreams.
 func (u *upstream) slowdown(now time.Time, average float64) float64 {
-	slow := 1 + (u.slow-1)*math.Exp2(-float64(now.Sub(u.slowAt))/float64(slowMemory))
+	slow := u.learnedSlowdown(now)
 	for _, c := range u.running {
 		if elapsed := now.Sub(c.started); c.predicted > 0 && elapsed > 2*c.predicted {
 			slow = max(slow, float64(elapsed)/float64(c.predicted))
@@ -226,7 +231,7 @@
 	}
 	const weight = 0.3
 	ratio := min(maxSlowdown, max(1, float64(e.Latency)/expected/1.3))
-	current := 1 + (u.slow-1)*math.Exp2(-float64(now.Sub(u.slowAt))/float64(slowMemory))
+	current := u.learnedSlowdown(now)
 	u.slow = current + weight*(ratio-current)
 	u.slowAt = now
 }
