Serve warm upstreams at once after a planned hand over

The previous owner had inherited an allowance of one call a warm upstream and handed it over with one running call each; the new owner subtracted them, so no upstream had a slot until a probe. Change: inherited calls never take the last slot of a warm upstream. Cold ones keep the exact count. Test: TestHandoverOfBusyWarmUpstreamsServesAtOnce fails before.

--- a/internal/dispatch/handover_test.go
+++ b/internal/dispatch/handover_test.go
@@ -174,3 +174,20 @@
 	assert.Less(t, len(data), 256<<10)
 	assert.InDelta(t, 0.5, h.RestFill, 1e-3, "customers past the bound don't get a fresh burst")
 }
+
+// Guards against calls that a new owner refuses although every upstream is warm, because the calls that the previous owner
+// ran at the time of the hand over, and that have ended since, take up all slots until a probe (TestRollingReplacement).
+func TestHandoverOfBusyWarmUpstreamsServesAtOnce(t *testing.T) {
+	spec := testSpec(2, 4)
+	old := newFixture(t, spec).successor(spec, WithTakeover(benchStart, time.Time{}))
+	require.Len(t, old.offer(2), 2, "one call on each upstream, until their first reports")
+	next := old.successor(spec, WithHandover(old.now, old.p.Handover(old.now)))
+	for seq := range successesPerStep {
+		granted := next.offer(2)
+		require.Len(t, granted, 2)
+		for _, id := range granted {
+			next.p.Finish(next.now, id, Outcome{Latency: time.Millisecond, Report: &LoadReport{Seq: uint64(seq + 1)}})
+		}
+	}
+	assert.Len(t, next.offer(5), 4, "the allowance has doubled, and the reports show that the previous owner's calls have ended")
+}
--- a/internal/dispatch/upstream.go
+++ b/internal/dispatch/upstream.go
@@ -104,7 +104,12 @@
 	if u.report.foreign > 0 {
 		n = max(1, n-u.report.foreign)
 	}
-	return max(0, n-u.inherited.running)
+	left := n - u.inherited.running
+	if u.cold {
+		return max(0, left)
+	}
+	// A warm upstream sheds what is too much, and the report of one call tells which inherited ones have ended.
+	return max(1, left)
 }
 
 // group holds the upstreams of one version, which are each other's peers.
