Don't pause an upstream that refuses requests although it has free slots

Each refusal paused its upstream for 20 to 640 ms, as if it were full; the pauses took the slots away, requests waited 570 ms in the queue, and were then refused. Change: a refusal whose load report shows free slots moves a shedding share, which raises the upstream's cost in the choice, and pauses nothing. The attempt line shows the reported load.

--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -206,7 +207,7 @@
 	}
 	p.Finish(outcome, time.Since(started), load)
 	x.s.o.Metrics.attempts.WithLabelValues(outcome.String()).Inc()
-	x.record("attempt", p, outcome.String(), err.Error(), started)
+	x.record("attempt", p, outcome.String(), err.Error()+loadText(load), started)
 	if x.conn.ctx.Err() != nil {
 		x.note("cancelled", "caller-left")
 		return false
@@ -232,6 +233,14 @@
 	return false
 }
 
+// loadText shows what the upstream said of its load with a refusal.
+func loadText(l *placement.Load) string {
+	if l == nil {
+		return ""
+	}
+	return fmt.Sprintf(" (load %d running, %d waiting, %d slots)", l.Running, l.Waiting, l.Slots)
+}
+
 func (x *exchange) classify(ctx context.Context, err error) (outcome placement.Outcome, notRun bool) {
 	var te *transport.Error
 	if !errors.As(err, &te) {
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -191,7 +191,7 @@
 		if version != "" && u.spec.Version != version || !p.eligible(now, c, u) {
 			continue
 		}
-		cost := p.predict(now, c, u) + time.Duration(p.rng.Int64N(int64(time.Millisecond)))
+		cost := avoidShedding(p.predict(now, c, u), u.shedding(now)) + time.Duration(p.rng.Int64N(int64(time.Millisecond)))
 		if u.spec.DataCentre != c.ask.DataCentre {
 			if c.ask.Large {
 				cost += nearBonusLarge
@@ -208,6 +208,13 @@
 	return best
 }
 
+// avoidShedding raises the cost of an upstream that refuses a share of its requests. A refusal costs the time of another
+// attempt and one from the budget, hence the square.
+func avoidShedding(cost time.Duration, share float64) time.Duration {
+	taken := max(0.1, 1-share)
+	return time.Duration(float64(cost) / (taken * taken))
+}
+
 // worthwhile reports whether the call should start on u now rather than wait for a faster upstream.
 func (p *Pool) worthwhile(now time.Time, c *call, u *upstream) bool {
 	predicted := p.predict(now, c, u)
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -26,6 +26,10 @@
 	// fullPause is how long an upstream that refused a request as full gets no other one.
 	fullPause    = 20 * time.Millisecond
 	maxFullPause = 640 * time.Millisecond
+	// shedWeight moves the share of requests that an upstream refuses although it has free slots, and shedMemory is the time
+	// after which that share has halved without requests.
+	shedWeight = 0.2
+	shedMemory = 2 * time.Second
 	// failingProbes is the number of failed health probes in a row that count, when no request succeeded meanwhile.
 	failingProbes = 3
 	// coldRateShare keeps the sum below the bound while two entries place at once.
@@ -74,6 +78,8 @@
 	ejections    int
 	fullUntil    time.Time
 	fullRun      int
+	shed         float64 // share of the requests that were refused in spite of free slots
+	shedAt       time.Time
 
 	suspects []suspect // requests whose connections were lost of late
 }
@@ -150,7 +156,17 @@
 	return factor
 }
 
-// takeCold uses one request of a cold upstream's allowance.
+// shedding is the share of requests that the upstream is expected to refuse in spite of free slots.
+func (u *upstream) shedding(now time.Time) float64 {
+	return u.shed * math.Exp2(-float64(now.Sub(u.shedAt))/float64(shedMemory))
+}
+
+func (u *upstream) noteShed(now time.Time, shed float64) {
+	current := u.shedding(now)
+	u.shed, u.shedAt = current+shedWeight*(shed-current), now
+}
+
+// refillCold adds to a cold upstream's allowance what has become due.
 func (u *upstream) refillCold(now time.Time, perSecond float64) {
 	rate := perSecond * coldRateShare
 	u.coldTokens = min(max(1, min(coldBurst, rate)), u.coldTokens+now.Sub(u.coldAt).Seconds()*rate)
@@ -201,6 +217,7 @@
 	case Success:
 		u.fullRun = 0
 		u.lastSuccess = now
+		u.noteShed(now, 0)
 		u.fail(now, 0)
 		u.learnSlowdown(now, c, e, base, pace)
 		return pace < 1.25 && !c.cold && !c.crowded
@@ -213,7 +230,11 @@
 		u.reachable = false
 		u.fail(now, 1)
 	case NotRun:
-		u.full(now)
+		if e.Load != nil && e.Load.Running+e.Load.Waiting < e.Load.Slots {
+			u.noteShed(now, 1) // a pause would only take its free slots away from others
+		} else {
+			u.full(now)
+		}
 	case Elsewhere:
 		u.other = true
 	case Cancelled:
