Count the cold start of an upstream once

Cause: the pace that an upstream reports includes its cold start (2 when idle and cold, 8 in a spell), and placement doubled it again. Predictions of four times the usual time kept requests off cold upstreams while the others were overloaded, and the doubled expectation hid slow answers of a new version. Change: the doubling holds only for upstreams that report no pace. Test: TestThePaceOfAColdUpstreamIncludesItsColdStart (fails before).

--- a/internal/placement/move.go
+++ b/internal/placement/move.go
@@ -239,11 +239,7 @@
 
 // expectedLatency is the latency of a call on a version that is as fast as the others.
 func expectedLatency(c *call, base time.Duration) float64 {
-	expected := float64(base) * max(1, c.pace)
-	if c.cold {
-		expected *= coldSlowdown
-	}
-	return expected
+	return float64(base) * max(1, c.pace)
 }
 
 // judge returns why the new version is bad, or nothing. It looks at each route and at all together, with the calls that
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -238,7 +238,7 @@
 }
 
 func (p *Pool) grant(now time.Time, c *call, u *upstream) {
-	c.up, c.started, c.pace, c.cold = u, now, max(1, u.pace), u.cold(now)
+	c.up, c.started, c.pace, c.cold = u, now, u.expectedPace(now), u.cold(now)
 	c.predicted = p.predict(now, c, u)
 	if c.cold {
 		u.coldTokens--
@@ -410,7 +410,7 @@
 	if u == nil || p.calls[a.ID] != nil {
 		return
 	}
-	c := &call{ask: a, up: u, started: now, queuedAt: now, pace: max(1, u.pace), crowded: true}
+	c := &call{ask: a, up: u, started: now, queuedAt: now, pace: u.expectedPace(now), crowded: true}
 	u.running[a.ID] = c
 	p.calls[a.ID] = c
 }
--- a/internal/placement/pool_test.go
+++ b/internal/placement/pool_test.go
@@ -103,6 +103,28 @@
 	assert.Positive(t, granted)
 }
 
+// Guards against a cold start that counts twice, in the pace that the upstream reports and beside it: then no request in
+// time is placed on a cold upstream (scale-1 of yeux-sfax: pace 2 and a slowdown of 4 while others were overloaded).
+func TestThePaceOfAColdUpstreamIncludesItsColdStart(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		pace     float64 // 0: not reported
+		predicts float64
+	}{{"reported", 2, 2}, {"reported with a spell", 8, 8}, {"not reported", 0, coldSlowdown}} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFixture(up("a"))
+			f.Pool = New(rand.New(rand.NewPCG(1, 1)))
+			f.Configure(f.now, f.spec)
+			f.now = f.now.Add(time.Second) // its allowance has become due
+			f.Probe(f.now, Probe{Upstream: "a", Answered: true, Healthy: true, ColdLeft: time.Second, Load: &Load{Slots: 6, Pace: test.pace}})
+			f.base["r"] = 20 * time.Millisecond
+			d, id := f.ask(func(a *Ask) { a.Objective = f.now.Add(time.Second) })
+			require.Len(t, d.Grants, 1)
+			assert.InDelta(t, test.predicts*20, float64(f.calls[id].predicted)/float64(time.Millisecond), 0.1)
+		})
+	}
+}
+
 // Guards against too many requests in one second on a cold upstream, also while two entries place.
 func TestColdUpstreamsGetALimitedRate(t *testing.T) {
 	const perSecond, factor, slack = 5.3, 1.5, 5
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -12,7 +12,7 @@
 	// of its weight: neighbours disturb an upstream for some hundred milliseconds at a time.
 	paceFresh  = 50 * time.Millisecond
 	paceMemory = 300 * time.Millisecond
-	// coldSlowdown is how much longer work takes during cold start.
+	// coldSlowdown is how much longer work takes during cold start, for upstreams that report no pace.
 	coldSlowdown = 2.0
 	// maxSlowdown bounds the slowdown learned from latencies.
 	maxSlowdown = 12.0
@@ -43,7 +43,7 @@
 	started   time.Time
 	queuedAt  time.Time
 	predicted time.Duration
-	pace      float64
+	pace      float64 // reported at the start, with what a cold start adds; at least 1
 	cold      bool
 	crowded   bool
 	work      time.Duration // service time that was assumed when it began to wait
@@ -149,13 +149,20 @@
 			slow = max(slow, float64(elapsed)/float64(c.predicted))
 		}
 	}
-	factor := u.currentPace(now, average) * min(slow, maxSlowdown)
-	if u.cold(now) {
-		factor *= coldSlowdown
+	return u.currentPace(now, average) * min(slow, maxSlowdown) * u.coldFactor(now)
+}
+
+// coldFactor is the slowdown of a cold start beside the reported pace, which includes it.
+func (u *upstream) coldFactor(now time.Time) float64 {
+	if u.cold(now) && u.paceAt.IsZero() {
+		return coldSlowdown
 	}
-	return factor
+	return 1
 }
 
+// expectedPace is the factor by which a call that starts now takes longer than usual, unless the upstream is at fault.
+func (u *upstream) expectedPace(now time.Time) float64 { return max(1, u.pace) * u.coldFactor(now) }
+
 // shedding is the share of requests that the upstream is expected to refuse in spite of free slots.
 func (u *upstream) shedding(now time.Time) float64 {
 	return u.shed * math.Exp2(-float64(now.Sub(u.shedAt))/float64(shedMemory))
@@ -243,10 +250,7 @@
 }
 
 func (u *upstream) learnSlowdown(now time.Time, c *call, e End, base time.Duration, pace float64) {
-	expected := float64(base) * max(1, pace)
-	if c.cold {
-		expected *= coldSlowdown
-	}
+	expected := float64(base) * pace
 	if expected <= 0 {
 		return
 	}
