Derive the rate of cold upstreams from the bound in the settings

Cause: cold upstreams got 0.6 of the rate that they bear, whatever the bound over a second was. On the grown sites, where a cold upstream bears 4.6 a second and the bound is 14.9, that left most of the bound unused. Change: the rate is what an upstream bears, less where the burst and a second leader would exceed the bound. Test: TestColdUpstreamsGetALimitedRate draws rate, factor and slack.

--- a/cmd/boragehinge-entry/run.go
+++ b/cmd/boragehinge-entry/run.go
@@ -94,7 +94,7 @@
 		Seeds: s.Seeds, Store: platform.NewStore(s.Store.Address), Probe: prober.Run, Log: log,
 		Limits: coordinator.Limits{
 			RetryRatio: s.Bounds.RetryRatio, RetryBurst: s.Bounds.RetryBurst, RetryWindow: time.Duration(s.Bounds.RetryWindow),
-			BadShare: s.Bounds.BadShare, BadSlack: s.Bounds.BadSlack,
+			BadShare: s.Bounds.BadShare, BadSlack: s.Bounds.BadSlack, ColdFactor: s.Bounds.ColdFactor, ColdSlack: s.Bounds.ColdSlack,
 		},
 	})
 	e.transport = transport.New(transport.Config{
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -22,6 +22,9 @@
 	// BadShare and BadSlack bound the requests that a bad version may get during its move.
 	BadShare float64
 	BadSlack float64
+	// ColdFactor and ColdSlack bound the requests of a cold upstream in a second, with the rate that its service says it bears.
+	ColdFactor float64
+	ColdSlack  float64
 }
 
 // unprobedInFlight is the number of requests that an entry without a leader sends to one upstream at a time.
@@ -79,12 +82,13 @@
 		spec := placement.Spec{
 			ColdPerSecond: s.ColdPerSecond, RetryRatio: c.limits.RetryRatio, RetryBurst: c.limits.RetryBurst,
 			RetryWindow: c.limits.RetryWindow, BadShare: c.limits.BadShare, BadSlack: c.limits.BadSlack, Unprobed: c.alone,
+			ColdFactor: c.limits.ColdFactor, ColdSlack: c.limits.ColdSlack,
 		}
 		if c.alone {
 			spec.MaxInFlight = unprobedInFlight
 		}
 		if c.alone || restricted {
-			spec.ColdPerSecond = 0
+			spec.ColdPerSecond, spec.ColdSlack = 0, 0
 			spec.RetryRatio, spec.RetryBurst = spec.RetryRatio*restrictedShare, spec.RetryBurst*restrictedShare
 		}
 		specs[name] = spec
--- a/internal/placement/load_test.go
+++ b/internal/placement/load_test.go
@@ -70,7 +70,7 @@
 		shed: map[string]float64{}, base: 95 * time.Millisecond, objective: 250 * time.Millisecond, deadline: 1200 * time.Millisecond, slots: slots,
 	}
 	s.pool = New(rand.New(rand.NewPCG(3, 4)))
-	spec := Spec{ColdPerSecond: 21, RetryRatio: 0.2, RetryBurst: 60, RetryWindow: 10 * time.Second}
+	spec := Spec{ColdPerSecond: 21, ColdFactor: 1.5, ColdSlack: 5, RetryRatio: 0.2, RetryBurst: 60, RetryWindow: 10 * time.Second}
 	for i := range upstreams {
 		id := fmt.Sprintf("u%02d", i)
 		spec.Upstreams = append(spec.Upstreams, UpstreamSpec{ID: id, Address: id, DataCentre: "z", Version: "v1", Slots: slots})
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -158,7 +158,7 @@
 		return false
 	}
 	if u.cold(now) {
-		u.refillCold(now, p.spec.ColdPerSecond)
+		u.refillCold(now, p.spec.coldRate())
 		return u.coldTokens >= 1
 	}
 	return true
--- a/internal/placement/pool_test.go
+++ b/internal/placement/pool_test.go
@@ -20,7 +20,7 @@
 
 func newFixture(upstreams ...UpstreamSpec) *fixture {
 	f := &fixture{Pool: New(rand.New(rand.NewPCG(1, 1))), now: epoch}
-	f.spec = Spec{Upstreams: upstreams, ColdPerSecond: 20, RetryRatio: 0.2, RetryBurst: 60, RetryWindow: 10 * time.Second, BadShare: 0.1, BadSlack: 50}
+	f.spec = Spec{Upstreams: upstreams, ColdPerSecond: 20, ColdFactor: 1.5, ColdSlack: 5, RetryRatio: 0.2, RetryBurst: 60, RetryWindow: 10 * time.Second, BadShare: 0.1, BadSlack: 50}
 	f.Configure(f.now, f.spec)
 	for _, u := range upstreams {
 		f.healthy(u.ID)
@@ -127,10 +127,10 @@
 
 // Guards against too many requests in one second on a cold upstream, also while two entries place.
 func TestColdUpstreamsGetALimitedRate(t *testing.T) {
-	const perSecond, factor, slack = 5.3, 1.5, 5
 	rapid.Check(t, func(t *rapid.T) {
+		perSecond, factor, slack := rapid.Float64Range(0.5, 40).Draw(t, "bears"), rapid.Float64Range(1, 3).Draw(t, "factor"), float64(rapid.IntRange(0, 10).Draw(t, "slack"))
 		f := newFixture(up("a"))
-		f.spec.ColdPerSecond = perSecond
+		f.spec.ColdPerSecond, f.spec.ColdFactor, f.spec.ColdSlack = perSecond, factor, slack
 		f.Configure(f.now, f.spec)
 		var sent []time.Time
 		for range rapid.IntRange(50, 200).Draw(t, "steps") {
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -1,6 +1,9 @@
 package placement
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // UpstreamSpec describes one upstream.
 type UpstreamSpec struct {
@@ -15,9 +18,12 @@
 type Spec struct {
 	Upstreams     []UpstreamSpec
 	ColdPerSecond float64 // requests per second that a cold upstream bears
-	RetryRatio    float64 // new attempts per request within RetryWindow, over all entries
-	RetryBurst    float64
-	RetryWindow   time.Duration
+	// ColdFactor and ColdSlack bound the requests of a cold upstream in any second: ColdPerSecond*ColdFactor + ColdSlack, over
+	// all entries.
+	ColdFactor, ColdSlack float64
+	RetryRatio            float64 // new attempts per request within RetryWindow, over all entries
+	RetryBurst            float64
+	RetryWindow           time.Duration
 	// BadShare and BadSlack bound the requests that a bad version may get during its move, as a share of all and beside it.
 	BadShare, BadSlack float64
 	// Unprobed allows upstreams that were not probed yet. An entry that places by itself has no probes.
@@ -26,6 +32,13 @@
 	MaxInFlight int
 }
 
+// coldRate is the rate of requests to a cold upstream: what it bears, or less where the burst and another entry that places
+// at the same time would exceed the bound.
+func (s *Spec) coldRate() float64 {
+	bound := s.ColdPerSecond*s.ColdFactor + s.ColdSlack
+	return max(0, min(s.ColdPerSecond, math.Floor(bound/coldLeaders)-coldBurst-coldLate))
+}
+
 // Ask is one attempt of a request that wants an upstream.
 type Ask struct {
 	ID          uint64
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -32,9 +32,12 @@
 	shedMemory = 2 * time.Second
 	// failingProbes is the number of failed health probes in a row that count, when no request succeeded meanwhile.
 	failingProbes = 3
-	// coldRateShare keeps the sum below the bound while two entries place at once.
-	coldRateShare = 0.6
-	coldBurst     = 2.0
+	// coldLeaders is the number of entries that may place at once and together keep the bound of a cold upstream.
+	coldLeaders = 2
+	// coldBurst is the number of requests that a cold upstream may get at once, and coldLate the number that may arrive with
+	// those of the next second.
+	coldBurst = 2.0
+	coldLate  = 1.0
 )
 
 type call struct {
@@ -174,8 +177,7 @@
 }
 
 // refillCold adds to a cold upstream's allowance what has become due.
-func (u *upstream) refillCold(now time.Time, perSecond float64) {
-	rate := perSecond * coldRateShare
+func (u *upstream) refillCold(now time.Time, rate float64) {
 	u.coldTokens = min(max(1, min(coldBurst, rate)), u.coldTokens+now.Sub(u.coldAt).Seconds()*rate)
 	u.coldAt = now
 }
