Make few calls to the store when all entries start

At the first start no entry knew another one, so 90 of 92 led for a moment: each read four topics, began three long polls, and wrote its own record. After a power loss of half of the hosts 20 entries led, because the five that they asked were down. Change: at the first start the seeds decide who leads; an entry asks the seeds before it reads the entries' records; it asks those that precede it in rounds of 16, 32, 64 before it leads; the leader writes the records of all followers in one call; a leader on a small host, which a seed may be, gives way to a follower on a host 1.5 times as large.

--- a/cmd/boragehinge-entry/run.go
+++ b/cmd/boragehinge-entry/run.go
@@ -91,7 +91,7 @@
 		Self: gateway.Entry{
 			Name: s.Node, DataCentre: s.Zone, Callers: s.Listen.Callers, Peer: s.Listen.Peers, CPUShare: s.Limits.CPUShare,
 		},
-		Seeds: s.Seeds, Store: platform.NewStore(s.Store.Address), Probe: prober.Run, Log: log,
+		Seeds: s.Seeds, Bootstrap: s.Bootstrap, Store: platform.NewStore(s.Store.Address), Probe: prober.Run, Log: log,
 		Limits: coordinator.Limits{
 			RetryRatio: s.Bounds.RetryRatio, RetryBurst: s.Bounds.RetryBurst, RetryWindow: time.Duration(s.Bounds.RetryWindow),
 			BadShare: s.Bounds.BadShare, BadSlack: s.Bounds.BadSlack, ColdFactor: s.Bounds.ColdFactor, ColdSlack: s.Bounds.ColdSlack,
--- a/internal/coordinator/cluster_test.go
+++ b/internal/coordinator/cluster_test.go
@@ -120,6 +120,16 @@
 }
 
 func startCluster(t *testing.T, n int) *cluster {
+	c := newCluster(t)
+	for i := range n {
+		c.members = append(c.members, c.start(fmt.Sprintf("e%d", i), nil))
+	}
+	c.eventually("one leader that all others follow", 10*time.Second, func() bool { return c.settled(n) })
+	return c
+}
+
+// newCluster returns a cluster without entries.
+func newCluster(t *testing.T) *cluster {
 	c := &cluster{t: t, store: standin.NewStore()}
 	server := httptest.NewServer(c.store.Handler())
 	c.address = strings.TrimPrefix(server.URL, "http://")
@@ -127,9 +137,6 @@
 	var ctx context.Context
 	ctx, c.beat = context.WithCancel(context.Background())
 	go c.heartbeats(ctx)
-	for i := range n {
-		c.members = append(c.members, c.start(fmt.Sprintf("e%d", i)))
-	}
 	t.Cleanup(func() {
 		for _, m := range c.members {
 			m.kill()
@@ -138,7 +145,6 @@
 		server.CloseClientConnections()
 		server.Close()
 	})
-	c.eventually("one leader that all others follow", 10*time.Second, func() bool { return c.settled(n) })
 	return c
 }
 
@@ -156,12 +162,17 @@
 	}
 }
 
-func (c *cluster) start(name string) *member {
+// start starts an entry. change may replace options that it has by default.
+func (c *cluster) start(name string, change func(*Options)) *member {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(c.t, err)
+	return c.startOn(listener, name, change)
+}
+
+func (c *cluster) startOn(listener net.Listener, name string, change func(*Options)) *member {
 	m := &member{gate: &gate{Store: platform.NewStore(c.address), wake: make(chan struct{})}, done: make(chan struct{})}
 	peer := listener.Addr().String()
-	m.node = NewNode(Options{
+	options := Options{
 		Self:   gateway.Entry{Name: name, DataCentre: "z1", Callers: "callers-" + name, Peer: peer, CPUShare: 0.3},
 		Store:  m.gate,
 		Limits: Limits{RetryRatio: 0.2, RetryBurst: 60, RetryWindow: 10 * time.Second, BadShare: 0.1, BadSlack: 50},
@@ -172,7 +183,11 @@
 				pause.For(ctx, 20*time.Millisecond)
 			}
 		},
-	})
+	}
+	if change != nil {
+		change(&options)
+	}
+	m.node = NewNode(options)
 	var ctx context.Context
 	ctx, m.cancel = context.WithCancel(context.Background())
 	m.server = &http.Server{
--- a/internal/coordinator/elect.go
+++ b/internal/coordinator/elect.go
@@ -22,8 +22,8 @@
 	// a power loss hosts that are still down would hold up all others. A leader that was too slow to answer is found by the
 	// next question for rivals.
 	findTimeout = 100 * time.Millisecond
-	// askedEntries bounds the entries that are asked at once, the first in rank.
-	askedEntries = 5
+	// rivalEntries is the number of entries that a leader asks for rivals, the first in rank.
+	rivalEntries = 5
 	retryPause   = 40 * time.Millisecond
 )
 
@@ -116,23 +116,6 @@
 
 func never(LeaderAnswer) bool { return false }
 
-// findLeader returns the peers' address of the leader, or self when this entry should lead. Both are zero when no decision
-// is possible yet.
-func (n *Node) findLeader(ctx context.Context) (address string, self bool) {
-	if !n.knowsEntries() {
-		n.readEntries(ctx)
-	}
-	answers := askAll(ctx, n.ask, n.candidates(), findTimeout, leadsNow)
-	address, self = chooseLeader(n.o.Self, answers)
-	if self && n.Leaving() {
-		self = false
-	}
-	if address == "" && !self {
-		pause.For(ctx, retryPause)
-	}
-	return address, self
-}
-
 // chooseLeader decides from the answers of other entries: an entry that leads is followed, the one with most followers
 // first; then one that others follow; else the first in rank leads.
 func chooseLeader(self gateway.Entry, answers []LeaderAnswer) (address string, leads bool) {
@@ -158,58 +141,6 @@
 	return "", true
 }
 
-func (n *Node) knowsEntries() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return len(n.world.Entries) > 0
-}
-
-// readEntries reads the other entries' records. Without the store the seeds have to do.
-func (n *Node) readEntries(ctx context.Context) {
-	batch, findings, err := n.o.Store.Newest(ctx, gateway.Entries)
-	for _, f := range findings {
-		n.log.Warn().Err(f).Msg("record ignored")
-	}
-	if err != nil {
-		n.log.Warn().Str("dependency", "store").Err(err).Msg("entries not read")
-		return
-	}
-	n.apply(batch, false)
-}
-
-// candidates are the peers' addresses to ask: the first in rank, the last leader and the seeds.
-func (n *Node) candidates() []string {
-	n.mu.Lock()
-	entries := make([]gateway.Entry, 0, len(n.world.Entries))
-	for _, e := range n.world.Entries {
-		if e.Peer != n.o.Self.Peer {
-			entries = append(entries, e)
-		}
-	}
-	last := ""
-	if n.roster != nil {
-		last = n.roster.Leader
-	}
-	n.mu.Unlock()
-	slices.SortFunc(entries, precedes)
-	var out []string
-	add := func(address string) {
-		if address != "" && address != n.o.Self.Peer && !slices.Contains(out, address) {
-			out = append(out, address)
-		}
-	}
-	for i, e := range entries {
-		if i < askedEntries {
-			add(e.Peer)
-		}
-	}
-	add(last)
-	for _, s := range n.o.Seeds {
-		add(s)
-	}
-	return out
-}
-
 // watchRivals makes the leader with fewer followers give way, when two lead after a partition or a start of all entries.
 func (l *leadership) watchRivals(ctx context.Context) {
 	n := l.node
@@ -220,7 +151,7 @@
 		}
 		pause.For(ctx, interval)
 		followers := len(l.currentFollowers())
-		answers := askAll(ctx, n.ask, append(n.candidates(), n.randomEntry()...), rivalTimeout, never)
+		answers := askAll(ctx, n.ask, append(n.firstAsked(rivalEntries), n.randomEntry()...), rivalTimeout, never)
 		for _, a := range append(answers, askAll(ctx, n.ask, rivals(n.o.Self, answers), rivalTimeout, never)...) {
 			if !yields(n.o.Self, followers, a) {
 				continue
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -39,6 +39,7 @@
 	beliefs     map[string]belief // by upstream; used by tickSlowly only
 	since       time.Time
 	rate        rateMeter
+	announcer   announcer
 
 	mu        sync.Mutex
 	followers map[*follower]struct{}
@@ -193,12 +194,18 @@
 	return out
 }
 
-func (l *leadership) peerAddresses() []string {
-	followers := l.currentFollowers()
-	out := make([]string, 0, len(followers))
-	for _, f := range followers {
-		out = append(out, f.entry.Peer)
+func (l *leadership) followerEntries() []gateway.Entry {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make([]gateway.Entry, 0, len(l.followers))
+	for f := range l.followers {
+		out = append(out, f.entry)
 	}
+	return out
+}
+
+func (l *leadership) peerAddresses() []string {
+	out := peersOf(l.followerEntries())
 	slices.Sort(out)
 	return out
 }
@@ -268,6 +275,11 @@
 			if now.Sub(rosterAt) >= rosterInterval {
 				rosterAt = now
 				l.publishRoster(now)
+				l.announce(ctx, now)
+				if e, ok := l.largerFollower(now); ok {
+					l.log.Info().Str("event", "leadership").Str("larger", e.Name).Float64("cpu_share", e.CPUShare).Msg("gives way")
+					l.stop()
+				}
 			}
 			if now.Sub(beliefsAt) >= beliefInterval {
 				beliefsAt = now
--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -19,7 +19,7 @@
 // Store is the store that lasting state is kept in.
 type Store interface {
 	feed.Store
-	Announce(ctx context.Context, e gateway.Entry) error
+	Announce(ctx context.Context, entries ...gateway.Entry) error
 	WriteStatus(ctx context.Context, status gateway.MoveStatus, end int64) error
 }
 
@@ -33,12 +33,14 @@
 
 // Options describe one entry.
 type Options struct {
-	Self   gateway.Entry
-	Seeds  []string // peers' addresses that may be out of date
-	Store  Store
-	Limits Limits
-	Probe  ProbeFunc
-	Log    zerolog.Logger
+	Self  gateway.Entry
+	Seeds []string // peers' addresses that may be out of date
+	// Bootstrap says that all entries start for the first time.
+	Bootstrap bool
+	Store     Store
+	Limits    Limits
+	Probe     ProbeFunc
+	Log       zerolog.Logger
 }
 
 // Node is one entry's part in the placement of requests.
@@ -46,8 +48,9 @@
 	o   Options
 	log zerolog.Logger
 
-	alone *Coordinator // used without a leader
-	ask   askFunc
+	started time.Time
+	alone   *Coordinator // used without a leader
+	ask     askFunc
 
 	mu       sync.Mutex
 	world    *gateway.World
@@ -69,7 +72,7 @@
 // NewNode returns a node; Run starts it.
 func NewNode(o Options) *Node {
 	n := &Node{
-		o: o, log: o.Log, world: gateway.NewWorld(), running: map[*handle]struct{}{},
+		o: o, log: o.Log, started: time.Now(), world: gateway.NewWorld(), running: map[*handle]struct{}{},
 		alone: NewCoordinator(o.Limits, true), ask: askLeader,
 	}
 	n.session = newLocalSession(n.alone)
@@ -115,7 +118,6 @@
 
 // Run finds the leader and follows it, or leads, until ctx ends.
 func (n *Node) Run(ctx context.Context) {
-	go n.announce(ctx)
 	go n.tickAlone(ctx)
 	for ctx.Err() == nil {
 		address, self := n.findLeader(ctx)
@@ -130,32 +132,9 @@
 	}
 }
 
-// announce writes this entry's record until it is accepted.
-func (n *Node) announce(ctx context.Context) {
-	for start := time.Now(); !n.knowsEntries() && time.Since(start) < announceWait && ctx.Err() == nil; {
-		pause.For(ctx, 50*time.Millisecond)
-	}
-	for wait := 200 * time.Millisecond; ctx.Err() == nil; wait = min(2*wait, 2*time.Second) {
-		n.mu.Lock()
-		known := n.world.Entries[n.o.Self.Name]
-		n.mu.Unlock()
-		if known == n.o.Self {
-			return // the record of an earlier process under the same addresses
-		}
-		err := n.o.Store.Announce(ctx, n.o.Self)
-		if err == nil {
-			return
-		}
-		n.log.Warn().Err(err).Msg("entry record not written")
-		pause.For(ctx, wait)
-	}
-}
-
 const (
 	aloneTick     = 20 * time.Millisecond
 	aloneIdleTick = 300 * time.Millisecond
-	// announceWait is how long an entry waits for the others' records, among which its own may still be.
-	announceWait = 1500 * time.Millisecond
 )
 
 // tickAlone lets time pass for the pools that are used without a leader.
