Spend the retry budget where a refusal is final

Half of it is kept for requests that come back, told by their shorter deadline. Where only the budget is missing, callers may come back after 10 ms.

--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -48,12 +48,14 @@
 	Attempt       int           `cbor:"10,keyasint"`
 	Exclude       []string      `cbor:"11,keyasint,omitempty"`
 	Fingerprint   uint64        `cbor:"12,keyasint,omitempty"`
+	Returns       bool          `cbor:"13,keyasint,omitempty"` // the caller is expected to come back after a refusal
 }
 
 func (a *Ask) placementAsk(now time.Time, id uint64) placement.Ask {
 	return placement.Ask{
 		ID: id, RequestID: a.RequestID, Route: a.Route, DataCentre: a.DataCentre, Large: a.Large, Priority: a.Priority,
 		Objective: now.Add(a.ObjectiveLeft), Deadline: now.Add(a.DeadlineLeft), Attempt: a.Attempt, Exclude: a.Exclude,
+		Returns: a.Returns,
 		Fingerprint: a.Fingerprint,
 	}
 }
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -58,6 +58,7 @@
 	refusals  int // upstreams that refused it
 	exclude   []string
 	print     uint64
+	first     bool  // the caller has not been refused before, so it will come back after a refusal
 	lost      error // failure of an attempt that may have run
 }
 
@@ -103,7 +104,9 @@
 	}
 	wait := x.route.Timeout
 	if ms, err := strconv.ParseInt(x.req.Header.Get(x.s.o.Names.DeadlineMs), 10, 64); err == nil && ms >= 0 {
-		if d := time.Duration(ms) * time.Millisecond; wait == 0 || d < wait {
+		d := time.Duration(ms) * time.Millisecond
+		x.first = x.s.returns.observe(x.route.Name, d)
+		if wait == 0 || d < wait {
 			wait = d
 		}
 	}
@@ -147,7 +150,7 @@
 func (x *exchange) ask() coordinator.Ask {
 	return coordinator.Ask{
 		RequestID: x.id, Service: x.service, Route: x.route.Name, DataCentre: x.s.o.DataCentre, Large: x.route.Kind == gateway.Download,
-		Priority: x.route.Priority, Attempt: 1 + x.attempts + x.refusals, Exclude: x.exclude, Fingerprint: x.print,
+		Priority: x.route.Priority, Attempt: 1 + x.attempts + x.refusals, Exclude: x.exclude, Fingerprint: x.print, Returns: x.first,
 	}
 }
 
--- /dev/null
+++ b/internal/ingress/returns_test.go
@@ -0,0 +1,24 @@
+package ingress
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// Guards against requests that come back and count as first ones, and against memory that grows with each configuration.
+func TestReturnedRequestsAreToldByTheirShorterWait(t *testing.T) {
+	var r returns
+	assert.True(t, r.observe("a", 800*time.Millisecond))
+	assert.False(t, r.observe("a", 640*time.Millisecond))
+	assert.True(t, r.observe("a", 790*time.Millisecond), "some milliseconds may have passed before a first request was sent")
+	assert.True(t, r.observe("b", 640*time.Millisecond), "another route")
+	assert.True(t, r.observe("a", 2*time.Second))
+	assert.False(t, r.observe("a", 800*time.Millisecond))
+	for i := range 3 * maxReturnRoutes {
+		r.observe(fmt.Sprint(i), time.Second)
+	}
+	assert.LessOrEqual(t, len(r.longest), maxReturnRoutes)
+}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -41,6 +41,7 @@
 type Server struct {
 	o       Options
 	splits  splits
+	returns returns
 	leaving atomic.Bool
 
 	mu    sync.Mutex
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -27,6 +27,9 @@
 	suspectTime = 600 * time.Millisecond
 )
 
+// budgetRetryAfter is told where only the budget forbids another attempt at once.
+const budgetRetryAfter = 10 * time.Millisecond
+
 // MinRetryAfter is the shortest time after which a refused request may find room.
 const MinRetryAfter = 50 * time.Millisecond
 
@@ -108,7 +111,7 @@
 	p.budget.advance(now, p.spec.RetryWindow)
 	if a.Attempt <= 1 {
 		p.budget.requests[p.budget.current]++
-	} else if !p.budget.allow(&p.spec) {
+	} else if !p.budget.allow(&p.spec, a.Returns) {
 		return p.refuse(now, c, ReasonBudget)
 	}
 	if a.Fingerprint != 0 && len(p.crashes[a.Fingerprint].upstreams) >= maxCrashes {
@@ -264,8 +267,12 @@
 
 func (p *Pool) refuse(now time.Time, c *call, reason Reason) Decisions {
 	after := max(MinRetryAfter, min(maxRetryAfter, p.expectedWait(now, c)))
-	if reason == ReasonCrashes {
+	switch reason {
+	case ReasonCrashes:
 		after = maxRetryAfter
+	case ReasonBudget:
+		after = budgetRetryAfter
+	default:
 	}
 	p.out.Refusals = append(p.out.Refusals, Refusal{Ask: c.ask.ID, Reason: reason, RetryAfter: after, Queued: len(p.waiting)})
 	return p.out
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -41,15 +41,17 @@
 
 // Ask is one attempt of a request that wants an upstream.
 type Ask struct {
-	ID          uint64
-	RequestID   string
-	Route       string
-	DataCentre  string // data centre of the entry that holds the request
-	Large       bool   // the response is large, so a near upstream is preferred
-	Priority    int    // 0 is the highest
-	Objective   time.Time
-	Deadline    time.Time
-	Attempt     int // 1 for the first
+	ID         uint64
+	RequestID  string
+	Route      string
+	DataCentre string // data centre of the entry that holds the request
+	Large      bool   // the response is large, so a near upstream is preferred
+	Priority   int    // 0 is the highest
+	Objective  time.Time
+	Deadline   time.Time
+	Attempt    int // 1 for the first
+	// Returns says that the caller is expected to come back after a refusal. Callers do so once.
+	Returns     bool
 	Exclude     []string
 	Fingerprint uint64 // of method, path and body; 0 when unknown
 }
