Take over changed settings in a running process

Cause: SIGHUP only checked the settings file, and a file that changes without a signal was never read. Change: bounds and seeds are taken over at SIGHUP and when the file's time or size has changed; a line names what changed and what holds from the next start. A file with findings changes nothing. Tests: TestChangedSettingsAreTakenOver, TestChangesTellWhatARunningProcessTakesOver.

--- a/cmd/boragehinge-entry/run.go
+++ b/cmd/boragehinge-entry/run.go
@@ -7,9 +7,8 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"strconv"
-	"syscall"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -50,7 +49,7 @@
 
 // entry holds the parts of the running process.
 type entry struct {
-	settings  *platform.Settings
+	settings  atomic.Pointer[platform.Settings]
 	log       zerolog.Logger
 	node      *coordinator.Node
 	server    *ingress.Server
@@ -81,21 +80,20 @@
 func newEntry(s *platform.Settings, f *flags, log zerolog.Logger) *entry {
 	names := platform.Names()
 	e := &entry{
-		settings: s, log: log, decisions: telemetry.NewDecisionLog(os.Stdout, f.decisionLines), registry: prometheus.NewRegistry(),
+		log: log, decisions: telemetry.NewDecisionLog(os.Stdout, f.decisionLines), registry: prometheus.NewRegistry(),
 	}
-	least := probeInterval(f.probeInterval, s.Bounds.ProbesPerS)
+	e.settings.Store(s)
 	prober := &probe.Prober{
-		Headers: names, Interval: func() time.Duration { return e.node.ProbeInterval(least) },
+		Headers: names, Interval: func() time.Duration {
+			return e.node.ProbeInterval(probeInterval(f.probeInterval, e.settings.Load().Bounds.ProbesPerS))
+		},
 	}
 	e.node = coordinator.NewNode(coordinator.Options{
 		Self: gateway.Entry{
 			Name: s.Node, DataCentre: s.Zone, Callers: s.Listen.Callers, Peer: s.Listen.Peers, CPUShare: s.Limits.CPUShare,
 		},
 		Seeds: s.Seeds, Bootstrap: s.Bootstrap, Store: platform.NewStore(s.Store.Address), Probe: prober.Run, Log: log,
-		Limits: coordinator.Limits{
-			RetryRatio: s.Bounds.RetryRatio, RetryBurst: s.Bounds.RetryBurst, RetryWindow: time.Duration(s.Bounds.RetryWindow),
-			BadShare: s.Bounds.BadShare, BadSlack: s.Bounds.BadSlack, ColdFactor: s.Bounds.ColdFactor, ColdSlack: s.Bounds.ColdSlack,
-		},
+		Limits: limits(s),
 	})
 	e.transport = transport.New(transport.Config{
 		NotRun: names.Refused, Belongs: names.Belongs, AcceptUndelimited: true, DialTimeout: 300 * time.Millisecond,
@@ -108,6 +106,15 @@
 	return e
 }
 
+// limits are the bounds that hold over all entries.
+func limits(s *platform.Settings) coordinator.Limits {
+	b := &s.Bounds
+	return coordinator.Limits{
+		RetryRatio: b.RetryRatio, RetryBurst: b.RetryBurst, RetryWindow: time.Duration(b.RetryWindow),
+		BadShare: b.BadShare, BadSlack: b.BadSlack, ColdFactor: b.ColdFactor, ColdSlack: b.ColdSlack,
+	}
+}
+
 // probeShare is the part of the bound on probes that one leader uses, as two may probe for a moment.
 const probeShare = 0.5
 
@@ -121,7 +128,7 @@
 
 // addressTTL is how long callers may keep an answer.
 func (e *entry) addressTTL() time.Duration {
-	if longest := time.Duration(e.settings.Bounds.AddressTTL); longest > 0 {
+	if longest := time.Duration(e.settings.Load().Bounds.AddressTTL); longest > 0 {
 		return min(wantedTTL, longest)
 	}
 	return wantedTTL
@@ -129,18 +136,19 @@
 
 // serve runs until ctx ends and then stops in an orderly way.
 func (e *entry) serve(ctx context.Context, f *flags) error {
-	callers, err := net.Listen("tcp", e.settings.Listen.Callers)
+	listen := &e.settings.Load().Listen
+	callers, err := net.Listen("tcp", listen.Callers)
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
 	failed := make(chan error, 8)
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	e.serveHTTP(e.settings.Listen.Peers, e.node.Handler(), failed)
-	e.serveHTTP(e.settings.Listen.Ready, platform.ReadyHandler(e.node.Ready), failed)
-	e.serveHTTP(e.settings.Listen.Addresses, platform.AddressHandler(e.node.Addresses, e.addressTTL()), failed)
+	e.serveHTTP(listen.Peers, e.node.Handler(), failed)
+	e.serveHTTP(listen.Ready, platform.ReadyHandler(e.node.Ready), failed)
+	e.serveHTTP(listen.Addresses, platform.AddressHandler(e.node.Addresses, e.addressTTL), failed)
 	if f.metricsPort != 0 {
-		host, _, _ := net.SplitHostPort(e.settings.Listen.Callers)
+		host, _, _ := net.SplitHostPort(listen.Callers)
 		e.serveHTTP(net.JoinHostPort(host, strconv.Itoa(f.metricsPort)), promhttp.HandlerFor(e.registry, promhttp.HandlerOpts{}), failed)
 	}
 	go e.node.Run(background)
@@ -171,7 +179,7 @@
 
 // stop serves callers that still have this entry's address, then closes the listener and finishes what runs.
 func (e *entry) stop(callers net.Listener) error {
-	grace := time.Duration(e.settings.Bounds.Grace)
+	grace := time.Duration(e.settings.Load().Bounds.Grace)
 	deadline := time.Now().Add(grace - stopMargin)
 	e.log.Info().Str("event", "stop").Dur("grace", grace).Msg("stopping")
 	e.node.Leave()
@@ -202,24 +210,3 @@
 		}
 	}
 }
-
-// watchReload checks the settings file when SIGHUP says that it has changed. Addresses and identity are fixed for the life
-// of the process, so changes of them take effect at the next start.
-func (e *entry) watchReload(ctx context.Context, f *flags) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hup:
-			_, err := platform.LoadSettings(f.settings)
-			if err != nil {
-				e.log.Warn().Str("event", "reload").Err(err).Msg("settings file is not valid; the running settings stay")
-				continue
-			}
-			e.log.Info().Str("event", "reload").Msg("settings file is valid; it takes effect at the next start")
-		}
-	}
-}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -44,10 +44,10 @@
 
 // Coordinator owns the pools of all services. Its methods may be called from any goroutine.
 type Coordinator struct {
-	limits Limits
-	alone  bool // places for one entry without probes
+	alone bool // places for one entry without probes
 
-	mu sync.Mutex
+	mu     sync.Mutex
+	limits Limits
 	// restricted says that other leaders may serve beside this one, so bounds that hold over all entries are not drawn on.
 	restricted bool
 	rng        *rand.Rand
@@ -75,14 +75,14 @@
 		return
 	}
 	c.mu.Lock()
-	restricted := c.restricted
+	restricted, limits := c.restricted, c.limits
 	c.mu.Unlock()
 	specs := make(map[string]placement.Spec, len(w.Config.Services))
 	for name, s := range w.Config.Services {
 		spec := placement.Spec{
-			ColdPerSecond: s.ColdPerSecond, RetryRatio: c.limits.RetryRatio, RetryBurst: c.limits.RetryBurst,
-			RetryWindow: c.limits.RetryWindow, BadShare: c.limits.BadShare, BadSlack: c.limits.BadSlack, Unprobed: c.alone,
-			ColdFactor: c.limits.ColdFactor, ColdSlack: c.limits.ColdSlack,
+			ColdPerSecond: s.ColdPerSecond, RetryRatio: limits.RetryRatio, RetryBurst: limits.RetryBurst,
+			RetryWindow: limits.RetryWindow, BadShare: limits.BadShare, BadSlack: limits.BadSlack, Unprobed: c.alone,
+			ColdFactor: limits.ColdFactor, ColdSlack: limits.ColdSlack,
 		}
 		if c.alone {
 			spec.MaxInFlight = unprobedInFlight
@@ -123,6 +123,13 @@
 	specs[u.Service] = spec
 }
 
+// SetLimits replaces the bounds; Configure applies them to the pools.
+func (c *Coordinator) SetLimits(l Limits) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.limits = l
+}
+
 // Restrict says whether other leaders may serve beside this one, and reports whether that is new.
 func (c *Coordinator) Restrict(restricted bool) (changed bool) {
 	c.mu.Lock()
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -115,7 +115,7 @@
 
 func newLeadership(n *Node, cancel context.CancelFunc) *leadership {
 	l := &leadership{
-		node: n, log: n.log, coordinator: NewCoordinator(n.o.Limits, false), cancel: cancel,
+		node: n, log: n.log, coordinator: NewCoordinator(n.limits(), false), cancel: cancel,
 		since: time.Now(), beliefs: map[string]belief{}, followers: map[*follower]struct{}{}, probes: map[string]*probeRun{}, named: map[string][]string{},
 	}
 	l.relay = &relayStore{direct: n.o.Store, peers: l.peerAddresses, log: n.log}
--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -197,6 +198,30 @@
 	}
 }
 
+// Reload replaces the seeds and the bounds that hold over all entries.
+func (n *Node) Reload(seeds []string, limits Limits) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.o.Seeds, n.o.Limits = seeds, limits
+	n.alone.SetLimits(limits)
+	if n.leader != nil {
+		n.leader.coordinator.SetLimits(limits)
+	}
+	n.configurePools(time.Now())
+}
+
+func (n *Node) seeds() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Clone(n.o.Seeds)
+}
+
+func (n *Node) limits() Limits {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.o.Limits
+}
+
 // Leave tells the other entries that this one is about to stop.
 func (n *Node) Leave() {
 	n.mu.Lock()
--- a/internal/coordinator/search.go
+++ b/internal/coordinator/search.go
@@ -56,10 +56,10 @@
 	return "", true
 }
 
-func (n *Node) isSeed() bool { return slices.Contains(n.o.Seeds, n.o.Self.Peer) }
+func (n *Node) isSeed() bool { return slices.Contains(n.seeds(), n.o.Self.Peer) }
 
 func (n *Node) otherSeeds() []string {
-	return slices.DeleteFunc(slices.Clone(n.o.Seeds), func(s string) bool { return s == n.o.Self.Peer })
+	return slices.DeleteFunc(n.seeds(), func(s string) bool { return s == n.o.Self.Peer })
 }
 
 func (n *Node) knowsEntries() bool {
@@ -104,7 +104,7 @@
 		out = append(out, n.roster.Leader)
 	}
 	n.mu.Unlock()
-	out = append(out, n.o.Seeds...)
+	out = append(out, n.seeds()...)
 	slices.Sort(out)
 	return slices.DeleteFunc(slices.Compact(out), func(a string) bool { return a == "" || a == n.o.Self.Peer })
 }
