Count calls to the store, placements and probes, and show the leader's state as metrics

Cause: the metrics told nothing of the store, of who places, and of the upstreams as the leader judges them. Change: counters and a histogram of calls by kind, log and result; placements by mode; probes by result; gauges of leadership, followers, configuration version, waiting and running requests, and upstreams by state, read when they are asked for.

--- a/cmd/boragehinge-entry/run.go
+++ b/cmd/boragehinge-entry/run.go
@@ -92,9 +92,10 @@
 		Self: gateway.Entry{
 			Name: s.Node, DataCentre: s.Zone, Callers: s.Listen.Callers, Peer: s.Listen.Peers, CPUShare: s.Limits.CPUShare,
 		},
-		Seeds: s.Seeds, Bootstrap: s.Bootstrap, Store: platform.NewStore(s.Store.Address), Probe: prober.Run, Log: log,
+		Seeds: s.Seeds, Bootstrap: s.Bootstrap, Store: platform.NewStore(s.Store.Address), Probe: prober.Run, Log: log, Metrics: coordinator.NewMetrics(e.registry),
 		Limits: limits(s),
 	})
+	e.registry.MustRegister(e.node)
 	e.transport = transport.New(transport.Config{
 		NotRun: names.Refused, Belongs: names.Belongs, AcceptUndelimited: true, DialTimeout: 300 * time.Millisecond,
 		IdleTimeout: upstreamIdle, RecentResponse: freshConnection,
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -244,7 +244,10 @@
 	l.node.probed.Store(int64(len(l.probes) + 1))
 	ctx, cancel := context.WithCancel(context.Background())
 	l.probes[target.ID] = &probeRun{target: target, cancel: cancel}
-	go l.node.o.Probe(ctx, target, func(p placement.Probe) { l.coordinator.Probe(time.Now(), service, p) })
+	go l.node.o.Probe(ctx, target, func(p placement.Probe) {
+		l.node.o.Metrics.probed(p)
+		l.coordinator.Probe(time.Now(), service, p)
+	})
 }
 
 func (l *leadership) tick(ctx context.Context) {
--- /dev/null
+++ b/internal/coordinator/metrics.go
@@ -0,0 +1,166 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"boragehinge.example/boragehinge/internal/gateway"
+	"boragehinge.example/boragehinge/internal/placement"
+)
+
+// storeBuckets cover an answer in milliseconds to a long poll, in seconds.
+var storeBuckets = []float64{.002, .005, .01, .025, .05, .1, .25, .5, 1, 3.5, 16}
+
+// Metrics are the counters of a Node. Its gauges are read from the node when they are asked for.
+type Metrics struct {
+	storeCalls   *prometheus.CounterVec
+	storeSeconds *prometheus.HistogramVec
+	placed       *prometheus.CounterVec
+	probes       *prometheus.CounterVec
+}
+
+// NewMetrics registers the counters.
+func NewMetrics(r prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		storeCalls: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "boragehinge_store_calls_total",
+			Help: "Calls to the platform's store by kind, log and result."}, []string{"call", "source", "result"}),
+		storeSeconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "boragehinge_store_call_seconds",
+			Help: "Time of calls to the platform's store, with the wait of long polls.", Buckets: storeBuckets}, []string{"call"}),
+		placed: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "boragehinge_placements_total",
+			Help: "Placed attempts by who placed them: leader, follower or alone."}, []string{"mode"}),
+		probes: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "boragehinge_probes_total",
+			Help: "Health probes of upstreams by result."}, []string{"result"}),
+	}
+	r.MustRegister(m.storeCalls, m.storeSeconds, m.placed, m.probes)
+	return m
+}
+
+func (m *Metrics) probed(p placement.Probe) {
+	result := "healthy"
+	switch {
+	case !p.Answered:
+		result = "unanswered"
+	case p.Other:
+		result = "other-process"
+	case !p.Healthy:
+		result = "unhealthy"
+	}
+	m.probes.WithLabelValues(result).Inc()
+}
+
+// measuredStore counts the calls to a Store.
+type measuredStore struct {
+	Store
+	metrics *Metrics
+}
+
+func (s measuredStore) note(call string, source gateway.Source, began time.Time, err error) {
+	s.metrics.storeCalls.WithLabelValues(call, source.String(), resultOf(err)).Inc()
+	s.metrics.storeSeconds.WithLabelValues(call).Observe(time.Since(began).Seconds())
+}
+
+func resultOf(err error) string {
+	if err == nil {
+		return "ok"
+	}
+	for name, target := range relayErrors {
+		if errors.Is(err, target) {
+			return name
+		}
+	}
+	return "failed"
+}
+
+// Newest implements Store.
+func (s measuredStore) Newest(ctx context.Context, source gateway.Source) (gateway.Batch, []error, error) {
+	began := time.Now()
+	b, findings, err := s.Store.Newest(ctx, source)
+	s.note("newest", source, began, err)
+	return b, findings, err
+}
+
+// Read implements Store.
+func (s measuredStore) Read(ctx context.Context, source gateway.Source, from int64, wait time.Duration) (gateway.Batch, []error, error) {
+	began := time.Now()
+	b, findings, err := s.Store.Read(ctx, source, from, wait)
+	s.note("read", source, began, err)
+	return b, findings, err
+}
+
+// Announce implements Store.
+func (s measuredStore) Announce(ctx context.Context, entries ...gateway.Entry) error {
+	began := time.Now()
+	err := s.Store.Announce(ctx, entries...)
+	s.note("announce", gateway.Entries, began, err)
+	return err
+}
+
+// WriteStatus implements Store.
+func (s measuredStore) WriteStatus(ctx context.Context, status gateway.MoveStatus, end int64) error {
+	began := time.Now()
+	err := s.Store.WriteStatus(ctx, status, end)
+	s.note("status", gateway.Statuses, began, err)
+	return err
+}
+
+var (
+	leadsDesc     = prometheus.NewDesc("boragehinge_leads", "1 while this entry leads.", nil, nil)
+	followersDesc = prometheus.NewDesc("boragehinge_followers", "Entries that follow this one.", nil, nil)
+	versionDesc   = prometheus.NewDesc("boragehinge_configuration_version", "Version of the configuration in force.", nil, nil)
+	entriesDesc   = prometheus.NewDesc("boragehinge_known_entries", "Entries with a record in the store.", nil, nil)
+	waitingDesc   = prometheus.NewDesc("boragehinge_waiting_requests", "Requests that wait for an upstream, at the leader.", []string{"service"}, nil)
+	upstreamsDesc = prometheus.NewDesc("boragehinge_upstreams", "Upstreams as the leader judges them.", []string{"service", "state"}, nil)
+	runningDesc   = prometheus.NewDesc("boragehinge_running_requests", "Requests that run on upstreams, at the leader.", []string{"service"}, nil)
+)
+
+// Describe implements prometheus.Collector.
+func (n *Node) Describe(ch chan<- *prometheus.Desc) { prometheus.DescribeByCollect(n, ch) }
+
+// Collect implements prometheus.Collector.
+func (n *Node) Collect(ch chan<- prometheus.Metric) {
+	gauge := func(d *prometheus.Desc, v int, labels ...string) {
+		ch <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, float64(v), labels...)
+	}
+	n.mu.Lock()
+	l, entries := n.leader, len(n.world.Entries)
+	n.mu.Unlock()
+	gauge(entriesDesc, entries)
+	if c := n.Config(); c != nil {
+		gauge(versionDesc, int(c.Version)) //nolint:gosec // versions are far below the limit
+	}
+	if l == nil {
+		gauge(leadsDesc, 0)
+		return
+	}
+	gauge(leadsDesc, 1)
+	gauge(followersDesc, len(l.currentFollowers()))
+	for _, service := range l.coordinator.Services() {
+		l.coordinator.WithPool(service, func(p *placement.Pool) {
+			running, states := 0, map[string]int{}
+			for _, u := range p.Upstreams(time.Now()) {
+				running += u.Running
+				states[stateOf(&u)]++
+			}
+			gauge(waitingDesc, p.Waiting(), service)
+			gauge(runningDesc, running, service)
+			for state, count := range states {
+				gauge(upstreamsDesc, count, service, state)
+			}
+		})
+	}
+}
+
+func stateOf(u *placement.Status) string {
+	switch {
+	case u.Closed:
+		return "closed"
+	case !u.Usable:
+		return "unusable"
+	case u.Cold:
+		return "cold"
+	}
+	return "usable"
+}
--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/gorilla/mux"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
 	"boragehinge.example/boragehinge/internal/feed"
@@ -41,7 +42,9 @@
 	Store     Store
 	Limits    Limits
 	Probe     ProbeFunc
-	Log       zerolog.Logger
+	// Metrics may be nil for a node whose figures nobody reads.
+	Metrics *Metrics
+	Log     zerolog.Logger
 }
 
 // Node is one entry's part in the placement of requests.
@@ -72,6 +75,10 @@
 
 // NewNode returns a node; Run starts it.
 func NewNode(o Options) *Node {
+	if o.Metrics == nil {
+		o.Metrics = NewMetrics(prometheus.NewRegistry())
+	}
+	o.Store = measuredStore{o.Store, o.Metrics}
 	n := &Node{
 		o: o, log: o.Log, started: time.Now(), world: gateway.NewWorld(), running: map[*handle]struct{}{},
 		alone: NewCoordinator(o.Limits, true), ask: askLeader,
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -106,6 +106,7 @@
 		n.untrack(h).finish(End{Ask: a.ID, Outcome: o, Latency: latency, Load: load})
 	})
 	p.Mode = s.mode()
+	n.o.Metrics.placed.WithLabelValues(p.Mode).Inc()
 	return p
 }
 
