Log without waiting for the reader of the log, and keep full lines for what is not routine

Cause: event lines were written to standard output by the goroutine that decided, under the node's lock; a reader that stops would stop the entry. Above the rate of full lines, failures were grouped like successes. Routine placements and responses use at most half of the full lines. Tests: TestLoggingDoesNotWaitForItsReader, TestRoutineDecisionsLeaveLinesToOthers.

--- a/cmd/boragehinge-entry/reload_test.go
+++ b/cmd/boragehinge-entry/reload_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"testing"
@@ -12,6 +13,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"boragehinge.example/boragehinge/internal/telemetry"
 	"boragehinge.example/boragehinge/platform"
 )
 
@@ -43,7 +45,7 @@
 	s, err := platform.LoadSettings(path)
 	require.NoError(t, err)
 	f := &flags{settings: path, logLevel: "error", probeInterval: time.Millisecond}
-	e := newEntry(s, f, zerolog.Nop())
+	e := newEntry(s, f, zerolog.Nop(), telemetry.NewOutput(io.Discard))
 	assert.Equal(t, time.Second, e.addressTTL())
 
 	writeSettings(t, path, "z1", "500ms", 30)
--- a/cmd/boragehinge-entry/run.go
+++ b/cmd/boragehinge-entry/run.go
@@ -54,6 +54,7 @@
 	node      *coordinator.Node
 	server    *ingress.Server
 	transport *transport.Transport
+	out       *telemetry.Output
 	decisions *telemetry.DecisionLog
 	registry  *prometheus.Registry
 }
@@ -63,24 +64,25 @@
 	if err != nil {
 		return err
 	}
-	log, err := telemetry.NewLogger(os.Stdout, f.logLevel, time.Now)
+	out := telemetry.NewOutput(os.Stdout)
+	log, err := telemetry.NewLogger(out, f.logLevel, time.Now)
 	if err != nil {
 		return err
 	}
 	log.Info().Str("event", "start").Str("node", settings.Node).Str("data_centre", settings.Zone).Str("callers", settings.Listen.Callers).
 		Float64("cpu_share", settings.Limits.CPUShare).Bool("bootstrap", settings.Bootstrap).Msg("starts")
-	e := newEntry(settings, f, log)
-	if err := e.serve(ctx, f); err != nil {
-		return err
+	e := newEntry(settings, f, log, out)
+	err = e.serve(ctx, f)
+	if err == nil {
+		log.Info().Str("event", "stop").Msg("stopped")
 	}
-	log.Info().Str("event", "stop").Msg("stopped")
-	return nil
+	return errors.Join(err, e.flushLogsAtEnd())
 }
 
-func newEntry(s *platform.Settings, f *flags, log zerolog.Logger) *entry {
+func newEntry(s *platform.Settings, f *flags, log zerolog.Logger, out *telemetry.Output) *entry {
 	names := platform.Names()
 	e := &entry{
-		log: log, decisions: telemetry.NewDecisionLog(os.Stdout, f.decisionLines), registry: prometheus.NewRegistry(),
+		log: log, decisions: telemetry.NewDecisionLog(out, f.decisionLines), out: out, registry: prometheus.NewRegistry(),
 	}
 	e.settings.Store(s)
 	prober := &probe.Prober{
@@ -154,7 +156,7 @@
 	}
 	go e.node.Run(background)
 	go e.transport.Run(background)
-	go e.flushDecisions(background)
+	go e.flushLogsRegularly(background)
 	go e.watchReload(background, f)
 	go func() {
 		if err := e.server.Serve(callers); err != nil {
@@ -194,10 +196,31 @@
 	if err := e.server.Drain(ctx); err != nil {
 		e.log.Warn().Err(err).Msg("stopped with open connections")
 	}
-	return e.decisions.Flush(time.Now())
+	return nil
+}
+
+// flushLogs writes what was logged since the last call.
+func (e *entry) flushLogs(now time.Time) error {
+	return errors.Join(e.decisions.Flush(now), e.out.Flush())
+}
+
+// endFlushTimeout bounds the wait for a reader of the log that has stopped, when the process ends.
+const endFlushTimeout = 300 * time.Millisecond
+
+// flushLogsAtEnd writes the last lines unless the reader of the log has stopped.
+func (e *entry) flushLogsAtEnd() error {
+	done := make(chan error, 1)
+	go func() { done <- e.flushLogs(time.Now()) }()
+	select {
+	case err := <-done:
+		return err
+	case <-time.After(endFlushTimeout):
+		return errors.New("the last log lines were not written: the log isn't read")
+	}
 }
 
-func (e *entry) flushDecisions(ctx context.Context) {
+// flushLogsRegularly is the only goroutine that waits for a reader of the log.
+func (e *entry) flushLogsRegularly(ctx context.Context) {
 	ticker := time.NewTicker(telemetry.DecisionInterval)
 	defer ticker.Stop()
 	for {
@@ -205,8 +228,8 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			if err := e.decisions.Flush(now); err != nil {
-				e.log.Warn().Err(err).Msg("decision log not written")
+			if err := e.flushLogs(now); err != nil {
+				e.log.Warn().Err(err).Msg("log not written")
 			}
 		}
 	}
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -360,6 +360,7 @@
 	}
 	x.s.o.Decisions.Record(time.Now(), telemetry.Decision{
 		Kind: "placement", RequestID: x.id, Service: x.service, Upstream: p.Upstream, Outcome: "granted", Reason: p.Mode, Inputs: string(b),
+		Routine: x.attempts+x.refusals == 0,
 	})
 }
 
@@ -368,6 +369,7 @@
 	inputs := "ms=" + strconv.FormatInt(now.Sub(started).Milliseconds(), 10) + " totalMs=" + strconv.FormatInt(now.Sub(x.arrived).Milliseconds(), 10)
 	x.s.o.Decisions.Record(now, telemetry.Decision{
 		Kind: kind, RequestID: x.id, Service: x.service, Upstream: p.Upstream, Outcome: outcome, Reason: reason, Inputs: inputs,
+		Routine: kind == "response" && x.attempts+x.refusals == 0 && now.Before(x.objective) && outcome == "200",
 	})
 }
 
--- a/internal/telemetry/decisions.go
+++ b/internal/telemetry/decisions.go
@@ -12,6 +12,8 @@
 	DecisionInterval    = 100 * time.Millisecond
 	maxDecisionGroups   = 256
 	maxPendingLineBytes = 256 << 10
+	// otherShare is the part of the full lines that is kept for decisions that are not routine.
+	otherShare = 0.5
 )
 
 // severalUpstreams stands for the upstream of a group whose decisions chose different ones.
@@ -29,6 +31,8 @@
 	Upstream  string
 	Outcome   string // such as forwarded, granted, queued, refused
 	Reason    string
+	// Routine says that nothing is out of the ordinary. Half of the full lines are kept for other decisions.
+	Routine bool
 	// Inputs are key=value pairs that decided, with their age or version. They appear in full lines only.
 	Inputs string
 }
@@ -71,7 +75,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.decisionCount++
-	if l.take(now) && len(l.lines) < maxPendingLineBytes {
+	if l.take(now, d.Routine) && len(l.lines) < maxPendingLineBytes {
 		l.lines = appendDecision(l.lines, now, &d)
 		l.lineCount++
 		return
@@ -79,8 +83,8 @@
 	l.add(now, &d)
 }
 
-// take uses a token of the bucket, which holds one second of full lines.
-func (l *DecisionLog) take(now time.Time) bool {
+// take uses a token of the bucket, which holds one second of full lines. Routine decisions leave half of them.
+func (l *DecisionLog) take(now time.Time, routine bool) bool {
 	if l.filled.IsZero() {
 		l.tokens = l.rate
 		l.filled = now
@@ -89,7 +93,11 @@
 		l.tokens = min(l.rate, l.tokens+passed.Seconds()*l.rate)
 		l.filled = now
 	}
-	if l.tokens < 1 {
+	least := 1.0
+	if routine {
+		least += l.rate * otherShare
+	}
+	if l.tokens < least {
 		return false
 	}
 	l.tokens--
@@ -183,6 +191,15 @@
 	return append(line, '\n')
 }
 
+// appendDropped appends a line that counts the log lines for which there was no room.
+func appendDropped(line []byte, count int) []byte {
+	line = append(line, "time="...)
+	line = time.Now().UTC().AppendFormat(line, timeFormat)
+	line = append(line, ` level=warn message="log lines dropped" count=`...)
+	line = strconv.AppendInt(line, int64(count), 10)
+	return append(line, '\n')
+}
+
 func appendStart(line []byte, now time.Time, kind, outcome string) []byte {
 	line = append(line, "time="...)
 	line = now.UTC().AppendFormat(line, timeFormat)
--- a/internal/telemetry/doc.go
+++ b/internal/telemetry/doc.go
@@ -22,6 +22,14 @@
 // not delay a call; Flush does, every 100 ms. While the output blocks, full lines stop at 256 KiB and decisions go to
 // groups. An unplanned end of the process loses the lines of the last interval.
 //
+// A decision that is marked as routine uses at most half of the full lines, so that refusals and failures keep theirs when
+// successes are many.
+//
+// # Output
+//
+// An Output stands between the loggers and a pipe whose reader may stop: it collects lines up to a bound and writes them when
+// it is flushed, in one goroutine. What finds no room is dropped and counted in a line of its own.
+//
 // # Metrics
 //
 // Names follow the Prometheus conventions, with base units in the name. Label values that come from configuration or
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -172,3 +172,50 @@
 		})
 	})
 }
+
+// Guards against requests and decisions that wait for a log reader that has stopped, and against lines that are dropped without
+// a word.
+func TestLoggingDoesNotWaitForItsReader(t *testing.T) {
+	reader, w := io.Pipe()
+	out := NewOutput(w)
+	log, err := NewLogger(out, "info", time.Now)
+	require.NoError(t, err)
+	log.Info().Msg("first")
+	flushed := make(chan error, 1)
+	go func() { flushed <- out.Flush() }()
+	const lines = 20000
+	for i := range lines {
+		log.Info().Int("i", i).Msg("a line that nobody reads")
+	}
+	assert.Positive(t, out.Dropped())
+	var read bytes.Buffer
+	done := make(chan error, 1)
+	go func() {
+		_, err := io.Copy(&read, reader)
+		done <- err
+	}()
+	require.NoError(t, <-flushed)
+	require.NoError(t, out.Flush())
+	require.NoError(t, w.Close())
+	require.NoError(t, <-done)
+	assert.Contains(t, read.String(), "message=first")
+	assert.Regexp(t, `message="log lines dropped" count=\d+\n$`, read.String())
+	assert.Zero(t, out.Dropped())
+}
+
+// Guards against failures that find no full line because successes are many.
+func TestRoutineDecisionsLeaveLinesToOthers(t *testing.T) {
+	var b bytes.Buffer
+	l := NewDecisionLog(&b, 100)
+	now := time.Unix(1000, 0)
+	for i := range 1000 {
+		l.Record(now, Decision{Kind: "response", RequestID: fmt.Sprint("ok", i), Outcome: "200", Routine: true})
+	}
+	for i := range 40 {
+		l.Record(now, Decision{Kind: "response", RequestID: fmt.Sprint("bad", i), Outcome: "502"})
+	}
+	require.NoError(t, l.Flush(now))
+	for i := range 40 {
+		assert.Contains(t, b.String(), fmt.Sprint("request=bad", i))
+	}
+}
