Keep the cost of a leader and of a start independent of the number of upstreams

Change: only followers to whom callers are sent get the records; another one that loses its leader reads one page of upstreams from the store when it is asked; 128 usable upstreams are compared for a request.

--- a/internal/coordinator/first.go
+++ b/internal/coordinator/first.go
@@ -9,15 +9,20 @@
 	"boragehinge.example/boragehinge/internal/placement"
 )
 
-// firstReadTimeout bounds the reads of an entry that has callers before it has a leader.
-const firstReadTimeout = 250 * time.Millisecond
+const (
+	// firstReadTimeout bounds the reads of an entry that has callers but no leader.
+	firstReadTimeout = 250 * time.Millisecond
+	// firstReadPause lies between two such reads, as the store may have nothing to tell.
+	firstReadPause = 300 * time.Millisecond
+)
 
 // firstConfig lets requests wait for the first configuration.
 type firstConfig struct {
 	known chan struct{} // closed once a configuration is known
 
 	mu      sync.Mutex
-	reading chan struct{} // closed at the end of the read that goes on; nil without one
+	reading chan struct{} // closed at the end of the last read; nil before the first
+	next    time.Time     // no read begins before
 }
 
 // AwaitConfig returns the newest configuration. While none is known it reads the store, so that an entry whose callers come
@@ -30,43 +35,65 @@
 	defer timer.Stop()
 	select {
 	case <-n.first.known:
-	case <-n.readFirst():
+	case <-n.readFirst(gateway.Statuses, gateway.Upstreams, gateway.Operators):
 	case <-timer.C:
 	case <-ctx.Done():
 	}
 	return n.config.Load()
 }
 
-// readFirst starts a read of the store unless one goes on, and returns a channel that is closed at its end.
-func (n *Node) readFirst() <-chan struct{} {
+// awaitUpstreams reads some upstreams for an entry that has lost its leader and was not told of them, as callers are usually
+// not sent to it.
+func (n *Node) awaitUpstreams(ctx context.Context, s session) {
+	local, ok := s.(*localSession)
+	if !ok || local.coordinator != n.alone || !n.needsUpstreams() {
+		return
+	}
+	select {
+	case <-n.readFirst(gateway.Upstreams):
+	case <-ctx.Done():
+	}
+}
+
+func (n *Node) needsUpstreams() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.world.Config != nil && len(n.world.Upstreams) == 0
+}
+
+// readFirst starts a read of the sources, unless one goes on or has just ended, and returns a channel that is closed at the
+// end of the last read.
+func (n *Node) readFirst(sources ...gateway.Source) <-chan struct{} {
 	f := &n.first
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.reading != nil {
+	if f.reading != nil && time.Now().Before(f.next) {
 		return f.reading
 	}
+	f.next = time.Now().Add(firstReadTimeout + firstReadPause)
 	ended := make(chan struct{})
 	f.reading = ended
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), firstReadTimeout)
 		defer cancel()
-		n.takeFirst(n.readAll(ctx, gateway.Statuses, gateway.Upstreams, gateway.Operators))
+		n.takeFirst(n.readFew(ctx, sources...))
 		f.mu.Lock()
-		f.reading = nil
+		f.next = time.Now().Add(firstReadPause)
 		f.mu.Unlock()
 		close(ended)
 	}()
 	return ended
 }
 
-// readAll reads the newest records of all sources at once. It returns nothing when one of them can't be read.
-func (n *Node) readAll(ctx context.Context, sources ...gateway.Source) []gateway.Batch {
+// readFew reads some of the newest records of all sources at once: some upstreams are enough for the short time without a
+// leader, and orders and statuses are few. It returns nothing when one of the sources can't be read.
+func (n *Node) readFew(ctx context.Context, sources ...gateway.Source) []gateway.Batch {
 	batches, failures := make([]gateway.Batch, len(sources)), make([]error, len(sources))
 	var wg sync.WaitGroup
 	for i, source := range sources {
 		wg.Go(func() {
 			var findings []error
-			batches[i], findings, failures[i] = n.o.Store.Newest(ctx, source)
+			batches[i], findings, failures[i] = n.o.Store.Sample(ctx, source)
 			for _, f := range findings {
 				n.log.Warn().Str("source", source.String()).Err(f).Msg("record ignored")
 			}
@@ -88,7 +115,7 @@
 	now := time.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if len(batches) == 0 || n.world.Config != nil {
+	if len(batches) == 0 || n.leader != nil || n.world.Config != nil && len(n.world.Upstreams) > 0 {
 		return
 	}
 	for _, b := range batches {
@@ -98,11 +125,14 @@
 		return
 	}
 	n.configurePools(now)
+	n.log.Info().Str("event", "leadership").Int("upstreams", len(n.world.Upstreams)).Msg("places alone from the store's records")
+	if n.config.Load() != nil {
+		return
+	}
 	for service, move := range n.world.Moves {
 		n.noteMove(MoveNotice{Service: service, Version: move.Version, Phase: reportedPhase(n.world.Statuses[service], move)})
 	}
 	n.enforceConfig(n.world.Ends[gateway.Operators] - 1)
-	n.log.Info().Str("event", "leadership").Int("upstreams", len(n.world.Upstreams)).Msg("places alone from the store's records")
 }
 
 // reportedPhase is where a move stands by its status. One that is not known to have ended may still be judged.
--- a/internal/coordinator/first_test.go
+++ b/internal/coordinator/first_test.go
@@ -90,3 +90,30 @@
 		t.Fatal("still waiting")
 	}
 }
+
+// Guards against a read of the store for each request while the store knows no upstream.
+func TestAnEntryWithoutUpstreamsReadsTheStoreNowAndThen(t *testing.T) {
+	n, store := startedNode(t)
+	require.NotNil(t, n.AwaitConfig(t.Context(), 10*time.Second))
+	before := store.Calls("/api/log-newest")
+	began := time.Now()
+	for range 200 {
+		_, err := place(t, n)
+		require.Error(t, err)
+	}
+	most := 2 + int(time.Since(began)/firstReadPause)
+	assert.LessOrEqual(t, store.Calls("/api/log-newest")-before, most)
+}
+
+// Guards against entries that read thousands of records before they place their first request.
+func TestAnEntryWithoutLeaderReadsOnePageOfUpstreams(t *testing.T) {
+	n, store := startedNode(t)
+	for i := range 40 {
+		putUpstream(store, fmt.Sprintf("u%02d", i), "v1")
+	}
+	require.NotNil(t, n.AwaitConfig(t.Context(), 10*time.Second))
+	assert.Equal(t, 3, store.Calls("/api/log-newest"), "one call for each of orders, statuses and upstreams")
+	p, err := place(t, n)
+	require.NoError(t, err)
+	p.Finish(placement.Success, time.Millisecond, nil)
+}
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -52,8 +52,9 @@
 	link  *Link
 	entry gateway.Entry
 	hello *Hello
-	// informed says that the follower gets the records of upstreams. One that places no requests needs none, and with
-	// hundreds of entries and thousands of upstreams their snapshots would fill the leader's link.
+	// informed says that the follower gets the records of upstreams, by which it places alone when the leader is lost. Only
+	// those need them to whom callers are sent: with hundreds of entries and thousands of upstreams their snapshots would fill
+	// the leader's link.
 	informed bool
 
 	activity activity
@@ -163,6 +164,13 @@
 	return f.informed
 }
 
+// isNamed reports whether callers are sent to the follower.
+func (l *leadership) isNamed(f *follower) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Contains(l.named[f.entry.DataCentre], f.entry.Callers)
+}
+
 // inform sends the records of upstreams to a follower that has begun to place requests, and the changes from then on.
 func (l *leadership) inform(now time.Time, f *follower) {
 	l.mu.Lock()
@@ -378,7 +386,9 @@
 	if len(frame.Asks) > 0 {
 		f.activity.note(now)
 		l.coordinator.Submit(now, f, frame.Asks...)
-		l.inform(now, f)
+		if l.isNamed(f) {
+			l.inform(now, f)
+		}
 	}
 	if len(frame.Cancels) > 0 {
 		l.coordinator.Cancel(f, frame.Cancels...)
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -82,6 +82,14 @@
 	return b, findings, err
 }
 
+// Sample implements Store.
+func (s measuredStore) Sample(ctx context.Context, source gateway.Source) (gateway.Batch, []error, error) {
+	began := time.Now()
+	b, findings, err := s.Store.Sample(ctx, source)
+	s.note("sample", source, began, err)
+	return b, findings, err
+}
+
 // Read implements Store.
 func (s measuredStore) Read(ctx context.Context, source gateway.Source, from int64, wait time.Duration) (gateway.Batch, []error, error) {
 	began := time.Now()
--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -21,6 +21,8 @@
 // Store is the store that lasting state is kept in.
 type Store interface {
 	feed.Store
+	// Sample returns some of the newest records, and all where they are few.
+	Sample(ctx context.Context, source gateway.Source) (gateway.Batch, []error, error)
 	Announce(ctx context.Context, entries ...gateway.Entry) error
 	WriteStatus(ctx context.Context, status gateway.MoveStatus, end int64) error
 }
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -66,6 +66,7 @@
 		a.ID = n.nextID.Add(1)
 		a.ObjectiveLeft, a.DeadlineLeft = objective.Sub(now), deadline.Sub(now)
 		s := n.currentSession()
+		n.awaitUpstreams(ctx, s)
 		answer := s.submit(a)
 		select {
 		case r, ok := <-answer:
--- a/internal/placement/load_test.go
+++ b/internal/placement/load_test.go
@@ -300,3 +300,31 @@
 	}
 	assert.Less(t, long, 20*short+5*time.Millisecond)
 }
+
+// Guards against a cost of each request that grows with the number of upstreams (sweep to 300 hosts: 3,000 upstreams).
+func TestCostOfARequestDoesNotGrowWithTheUpstreams(t *testing.T) {
+	measure := func(upstreams int) time.Duration {
+		p := New(rand.New(rand.NewPCG(1, 1)))
+		spec := Spec{RetryWindow: time.Second}
+		for i := range upstreams {
+			id := fmt.Sprint(i)
+			spec.Upstreams = append(spec.Upstreams, UpstreamSpec{ID: id, Address: id, DataCentre: "z", Slots: 6})
+		}
+		p.Configure(epoch, spec)
+		for _, u := range spec.Upstreams {
+			p.Probe(epoch, Probe{Upstream: u.ID, Answered: true, Healthy: true, Load: &Load{Pace: 1}})
+		}
+		start := time.Now()
+		for i := range uint64(400) {
+			p.Submit(epoch, Ask{ID: i + 1, Route: "r", DataCentre: "z", Objective: epoch.Add(time.Second), Deadline: epoch.Add(time.Minute)})
+			require.Len(t, p.out.Grants, 1)
+			p.Finish(epoch, End{Ask: i + 1, Outcome: Success, Latency: 10 * time.Millisecond})
+		}
+		return time.Since(start)
+	}
+	few, many := time.Hour, time.Hour
+	for range 3 {
+		few, many = min(few, measure(128)), min(many, measure(3072))
+	}
+	assert.Less(t, many, 8*few, "a comparison of all would take 24 times as long")
+}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -30,6 +30,10 @@
 // budgetRetryAfter is told where only the budget forbids another attempt at once.
 const budgetRetryAfter = 10 * time.Millisecond
 
+// maxCompared bounds the upstreams that are compared for one request. Among so many some are near and undisturbed, and the cost
+// of a request doesn't grow with the number of upstreams.
+const maxCompared = 128
+
 // MinRetryAfter is the shortest time after which a refused request may find room.
 const MinRetryAfter = 50 * time.Millisecond
 
@@ -190,10 +194,18 @@
 func (p *Pool) best(now time.Time, c *call, version string) *upstream {
 	var best *upstream
 	least := time.Duration(math.MaxInt64)
-	for _, u := range p.order {
+	compared, from := 0, 0
+	if len(p.order) > maxCompared {
+		from = p.rng.IntN(len(p.order))
+	}
+	for i := range p.order {
+		u := p.order[(from+i)%len(p.order)]
 		if version != "" && u.spec.Version != version || !p.eligible(now, c, u) {
 			continue
 		}
+		if compared++; compared > maxCompared {
+			break
+		}
 		cost := avoidShedding(p.predict(now, c, u), u.shedding(now)) + time.Duration(p.rng.Int64N(int64(time.Millisecond)))
 		if u.spec.DataCentre != c.ask.DataCentre {
 			if c.ask.Large {
