--- a/cmd/boragehinge-entry/main.go
+++ b/cmd/boragehinge-entry/main.go
@@ -36,6 +36,7 @@
 		},
 	}
 	c.Flags().StringVar(&f.settings, "settings", os.Getenv(platform.SettingsVariable), "path of the platform's settings file")
+	c.Flags().StringVar(&f.peersBind, "peers-bind", "", "address to listen on for other entries, where they reach it through another one; empty: that of the settings")
 	c.Flags().IntVar(&f.metricsPort, "metrics-port", 0, "port for metrics on the entry's address; 0 serves none")
 	c.Flags().IntVar(&f.decisionLines, "decision-lines", 200, "lines per second that the decision log writes in full")
 	c.Flags().StringVar(&f.logLevel, "log-level", "info", "debug, info, warn or error")
--- a/cmd/boragehinge-entry/run.go
+++ b/cmd/boragehinge-entry/run.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -41,6 +42,7 @@
 
 type flags struct {
 	settings      string
+	peersBind     string
 	metricsPort   int
 	decisionLines int
 	logLevel      string
@@ -147,7 +149,7 @@
 	failed := make(chan error, 8)
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	e.serveHTTP(listen.Peers, e.node.Handler(), failed)
+	e.serveHTTP(cmp.Or(f.peersBind, listen.Peers), e.node.Handler(), failed)
 	e.serveHTTP(listen.Ready, platform.ReadyHandler(e.node.Ready), failed)
 	e.serveHTTP(listen.Addresses, platform.AddressHandler(e.node.Addresses, e.addressTTL), failed)
 	if f.metricsPort != 0 {
