Count only followers heard of lately for the majority, and check the model of leaders

Cause: a leader counted a follower for up to 1.5 s after its last frame. Followers that are cut off from one leader after the other, each after 0.45 s, could make three leaders draw on bounds of which each uses half. Test: TestSilentFollowersDontCountForTheMajority.

--- a/internal/coordinator/elect_test.go
+++ b/internal/coordinator/elect_test.go
@@ -123,3 +123,20 @@
 		})
 	}
 }
+
+// Guards against a third leader that draws on the shared bounds: a leader must not count followers for as long as they take to
+// give it up and then the next one (spec/leader.pml, MUTATE_LONG_COUNT).
+func TestSilentFollowersDontCountForTheMajority(t *testing.T) {
+	assert.Less(t, countedSilence, 2*leaderSilence)
+	assert.Less(t, countedSilence, 2*idleSilence)
+	assert.GreaterOrEqual(t, countedSilence, 2*followerBeat, "one late frame doesn't restrict a leader")
+	l := &leadership{since: time.Now(), followers: map[*follower]struct{}{}}
+	for _, heard := range []time.Duration{0, time.Second, 1900 * time.Millisecond} {
+		f := &follower{}
+		f.heard.Store(int64(heard))
+		l.followers[f] = struct{}{}
+	}
+	assert.Equal(t, 3, l.heardWithin(l.since.Add(700*time.Millisecond), countedSilence))
+	assert.Equal(t, 2, l.heardWithin(l.since.Add(1700*time.Millisecond), countedSilence))
+	assert.Equal(t, 0, l.heardWithin(l.since.Add(2800*time.Millisecond), countedSilence))
+}
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -58,6 +59,7 @@
 	informed bool
 
 	activity activity
+	heard    atomic.Int64 // time of the last frame, since the beginning of the leadership
 }
 
 // beat is the longest pause between two frames to the follower.
@@ -309,7 +311,7 @@
 	n := l.node
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	minority := inMinority(len(l.currentFollowers()), len(n.world.Entries), now.Sub(l.since))
+	minority := inMinority(l.heardWithin(now, countedSilence), len(n.world.Entries), now.Sub(l.since))
 	n.minority.Store(minority && now.Sub(l.since) > newLeaderTime)
 	if l.coordinator.Restrict(minority) {
 		n.log.Info().Str("event", "leadership").Bool("minority", minority).Int("entries", len(n.world.Entries)).Msg("leads")
@@ -317,6 +319,21 @@
 	}
 }
 
+// countedSilence is the silence up to which a follower counts for the majority. Below twice the time in which followers give a
+// leader up, no more than two leaders count the same follower; spec/leader.pml checks what follows from that.
+const countedSilence = 800 * time.Millisecond
+
+// heardWithin counts the followers that sent a frame lately.
+func (l *leadership) heardWithin(now time.Time, silence time.Duration) int {
+	count := 0
+	for _, f := range l.currentFollowers() {
+		if now.Sub(l.since)-time.Duration(f.heard.Load()) <= silence {
+			count++
+		}
+	}
+	return count
+}
+
 func inMinority(followers, known int, leads time.Duration) bool {
 	return 2*(followers+1) < known && leads < minorityTime
 }
@@ -377,6 +394,7 @@
 // handle takes a frame of a follower.
 func (l *leadership) handle(f *follower, frame *Frame) {
 	now := time.Now()
+	f.heard.Store(int64(now.Sub(l.since)))
 	if frame.Hello != nil {
 		l.welcome(now, f, frame.Hello)
 	}
