Trace a request through the logs of several entries

boragehinge trace ID LOG... prints the lines of a request, and what its entry and the leader believed when they decided: configuration, leader, upstreams, moves, lost dependencies.

--- a/cmd/boragehinge/commands.go
+++ b/cmd/boragehinge/commands.go
@@ -16,6 +16,7 @@
 	newSimulateCommand,
 	newSoakCommand,
 	newStatusCommand,
+	newTraceCommand,
 	newVersionCommand,
 }
 
