--- a/internal/coordinator/elect_test.go
+++ b/internal/coordinator/elect_test.go
@@ -136,7 +136,7 @@
 		f.heard.Store(int64(heard))
 		l.followers[f] = struct{}{}
 	}
-	assert.Equal(t, 3, l.heardWithin(l.since.Add(700*time.Millisecond), countedSilence))
-	assert.Equal(t, 2, l.heardWithin(l.since.Add(1700*time.Millisecond), countedSilence))
-	assert.Equal(t, 0, l.heardWithin(l.since.Add(2800*time.Millisecond), countedSilence))
+	assert.Equal(t, 3, l.heardLately(l.since.Add(700*time.Millisecond)))
+	assert.Equal(t, 2, l.heardLately(l.since.Add(1700*time.Millisecond)))
+	assert.Equal(t, 0, l.heardLately(l.since.Add(2800*time.Millisecond)))
 }
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -311,7 +311,7 @@
 	n := l.node
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	minority := inMinority(l.heardWithin(now, countedSilence), len(n.world.Entries), now.Sub(l.since))
+	minority := inMinority(l.heardLately(now), len(n.world.Entries), now.Sub(l.since))
 	n.minority.Store(minority && now.Sub(l.since) > newLeaderTime)
 	if l.coordinator.Restrict(minority) {
 		n.log.Info().Str("event", "leadership").Bool("minority", minority).Int("entries", len(n.world.Entries)).Msg("leads")
@@ -323,11 +323,11 @@
 // leader up, no more than two leaders count the same follower; spec/leader.pml checks what follows from that.
 const countedSilence = 800 * time.Millisecond
 
-// heardWithin counts the followers that sent a frame lately.
-func (l *leadership) heardWithin(now time.Time, silence time.Duration) int {
+// heardLately counts the followers that count for the majority.
+func (l *leadership) heardLately(now time.Time) int {
 	count := 0
 	for _, f := range l.currentFollowers() {
-		if now.Sub(l.since)-time.Duration(f.heard.Load()) <= silence {
+		if now.Sub(l.since)-time.Duration(f.heard.Load()) <= countedSilence {
 			count++
 		}
 	}
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -230,13 +230,13 @@
 		u.lastSuccess = now
 		u.noteShed(now, 0)
 		u.fail(now, 0)
-		u.learnSlowdown(now, c, e, base, pace)
+		u.learnSlowdown(now, e, base, pace)
 		return pace < 1.25 && !c.cold && !c.crowded
 	case Failure, Lost:
 		u.fail(now, 1)
 	case Silent:
 		u.fail(now, 1)
-		u.learnSlowdown(now, c, e, base, pace)
+		u.learnSlowdown(now, e, base, pace)
 	case ConnectFailed:
 		u.reachable = false
 		u.fail(now, 1)
@@ -251,14 +251,14 @@
 	case Outrun:
 		// It would have taken longer still. Without this, second attempts would hide a slow upstream.
 		if float64(e.Latency) > float64(base)*pace {
-			u.learnSlowdown(now, c, e, base, pace)
+			u.learnSlowdown(now, e, base, pace)
 		}
 	case Cancelled:
 	}
 	return false
 }
 
-func (u *upstream) learnSlowdown(now time.Time, c *call, e End, base time.Duration, pace float64) {
+func (u *upstream) learnSlowdown(now time.Time, e End, base time.Duration, pace float64) {
 	expected := float64(base) * pace
 	if expected <= 0 {
 		return
