Find the next leader at once after the last one is cut off or dark

An entry without a leader spread requests over data centres that were dark, and never used an upstream again after one failed connection. Change: the word of others that a lost leader leads is not believed for 2 s; the question for a leader names the lost one, and an entry that follows it checks it within 0.1 s; without probes near upstreams go first, and unreachable ones are avoided for a time only. Tests: TestALeaderThatAnotherEntryHasLostIsChecked, TestALostLeaderIsForgotten, a case of TestChooseLeader, TestWithoutProbesUnreachableUpstreamsAreTriedAgain. Callers of the lost data centre are still lost for as long as it is dark: they know no address elsewhere.

--- a/internal/coordinator/elect.go
+++ b/internal/coordinator/elect.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"slices"
 	"time"
 
@@ -16,6 +17,8 @@
 
 const (
 	leaderPath = "/v1/leader"
+	// lostParameter of a question for the leader names the one that the asking entry has lost.
+	lostParameter = "lost"
 	// rivalTimeout bounds the question for other leaders.
 	rivalTimeout = 250 * time.Millisecond
 	// findTimeout bounds the question of an entry without a leader. A live entry answers within a few milliseconds, and after
@@ -36,7 +39,8 @@
 	Leaving   bool          `json:"leaving"`
 }
 
-func (n *Node) answerLeader(w http.ResponseWriter, _ *http.Request) {
+func (n *Node) answerLeader(w http.ResponseWriter, r *http.Request) {
+	n.checkLeader(r.URL.Query().Get(lostParameter))
 	n.mu.Lock()
 	a := LeaderAnswer{Self: n.o.Self, Leads: n.leader != nil, Leaving: n.leaving}
 	if _, follows := n.session.(*linkSession); follows && n.roster != nil {
@@ -58,9 +62,10 @@
 	DisableKeepAlives: true,
 }}
 
-func askLeader(ctx context.Context, address string) (LeaderAnswer, error) {
+func askLeader(ctx context.Context, address, lost string) (LeaderAnswer, error) {
 	var a LeaderAnswer
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+leaderPath, nil)
+	target := url.URL{Scheme: "http", Host: address, Path: leaderPath, RawQuery: url.Values{lostParameter: {lost}}.Encode()}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
 	if err != nil {
 		return a, err
 	}
@@ -79,17 +84,17 @@
 	return a, nil
 }
 
-// askFunc asks the entry at a peers' address for the leader.
-type askFunc func(ctx context.Context, address string) (LeaderAnswer, error)
+// askFunc asks the entry at a peers' address for the leader. lost is the leader that the asking entry has lost, or empty.
+type askFunc func(ctx context.Context, address, lost string) (LeaderAnswer, error)
 
 // askAll asks the addresses at once and returns the answers that arrive within limit, up to the first that is enough.
-func askAll(ctx context.Context, ask askFunc, addresses []string, limit time.Duration, enough func(LeaderAnswer) bool) []LeaderAnswer {
+func askAll(ctx context.Context, ask askFunc, addresses []string, lost string, limit time.Duration, enough func(LeaderAnswer) bool) []LeaderAnswer {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	answers := make(chan *LeaderAnswer, len(addresses))
 	for _, address := range addresses {
 		go func() {
-			a, err := ask(ctx, address)
+			a, err := ask(ctx, address, lost)
 			if err != nil {
 				answers <- nil // an entry that doesn't answer is no candidate
 				return
@@ -117,8 +122,8 @@
 func never(LeaderAnswer) bool { return false }
 
 // chooseLeader decides from the answers of other entries: an entry that leads is followed, the one with most followers
-// first; then one that others follow; else the first in rank leads.
-func chooseLeader(self gateway.Entry, answers []LeaderAnswer) (address string, leads bool) {
+// first; then one that others follow, unless this entry has lost it; else the first in rank leads.
+func chooseLeader(self gateway.Entry, answers []LeaderAnswer, lost string) (address string, leads bool) {
 	most := -1
 	for _, a := range answers {
 		if leadsNow(a) && a.Followers > most {
@@ -129,7 +134,7 @@
 		return address, false
 	}
 	for _, a := range answers {
-		if a.Leader != "" && a.Leader != self.Peer {
+		if a.Leader != "" && a.Leader != self.Peer && a.Leader != lost {
 			return a.Leader, false
 		}
 	}
@@ -151,8 +156,8 @@
 		}
 		pause.For(ctx, interval)
 		followers := len(l.currentFollowers())
-		answers := askAll(ctx, n.ask, append(n.firstAsked(rivalEntries), n.randomEntry()...), rivalTimeout, never)
-		for _, a := range append(answers, askAll(ctx, n.ask, rivals(n.o.Self, answers), rivalTimeout, never)...) {
+		answers := askAll(ctx, n.ask, append(n.firstAsked(rivalEntries), n.randomEntry()...), "", rivalTimeout, never)
+		for _, a := range append(answers, askAll(ctx, n.ask, rivals(n.o.Self, answers), "", rivalTimeout, never)...) {
 			if !yields(n.o.Self, followers, a) {
 				continue
 			}
--- a/internal/coordinator/elect_test.go
+++ b/internal/coordinator/elect_test.go
@@ -25,19 +25,23 @@
 		answers []LeaderAnswer
 		address string
 		leads   bool
+		lost    string
 	}{
-		{"nobody answers", small, nil, "", true},
-		{"a leader is followed whatever its rank", big, []LeaderAnswer{{Self: small, Leads: true, Leader: small.Peer}}, small.Peer, false},
-		{"a leader that leaves is not followed", big, []LeaderAnswer{{Self: small, Leads: true, Leaving: true}}, "", true},
-		{"the leader of others is followed", small, []LeaderAnswer{{Self: big, Leader: "third:1"}}, "third:1", false},
-		{"the first in rank leads", big, []LeaderAnswer{{Self: small}}, "", true},
-		{"the others wait for it", small, []LeaderAnswer{{Self: big}}, "", false},
-		{"an entry that stops is not waited for", small, []LeaderAnswer{{Self: big, Leaving: true}}, "", true},
-		{"a word that this entry itself leads is out of date", small, []LeaderAnswer{{Self: big, Leader: small.Peer, Leaving: true}}, "", true},
+		{"nobody answers", small, nil, "", true, ""},
+		{"a leader is followed whatever its rank", big, []LeaderAnswer{{Self: small, Leads: true, Leader: small.Peer}}, small.Peer, false, ""},
+		{"a leader that leaves is not followed", big, []LeaderAnswer{{Self: small, Leads: true, Leaving: true}}, "", true, ""},
+		{"the leader of others is followed", small, []LeaderAnswer{{Self: big, Leader: "third:1"}}, "third:1", false, ""},
+		{"the first in rank leads", big, []LeaderAnswer{{Self: small}}, "", true, ""},
+		{"the others wait for it", small, []LeaderAnswer{{Self: big}}, "", false, ""},
+		{"an entry that stops is not waited for", small, []LeaderAnswer{{Self: big, Leaving: true}}, "", true, ""},
+		{"a word that this entry itself leads is out of date", small, []LeaderAnswer{{Self: big, Leader: small.Peer, Leaving: true}}, "", true, ""},
 	}
+	tests = append(tests, tests[3])
+	last := &tests[len(tests)-1]
+	last.name, last.lost, last.address = "a leader that this entry has lost is not followed on the word of others", "third:1", ""
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			address, leads := chooseLeader(test.self, test.answers)
+			address, leads := chooseLeader(test.self, test.answers, test.lost)
 			assert.Equal(t, test.address, address)
 			assert.Equal(t, test.leads, leads)
 		})
@@ -81,7 +85,7 @@
 	answer LeaderAnswer
 }
 
-func (l lateAnswers) ask(ctx context.Context, address string) (LeaderAnswer, error) {
+func (l lateAnswers) ask(ctx context.Context, address, _ string) (LeaderAnswer, error) {
 	a, ok := l[address]
 	if !ok {
 		<-ctx.Done() // a host without power
@@ -114,9 +118,9 @@
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				began := time.Now()
-				answers := askAll(t.Context(), test.answers.ask, append(dark, "leader"), findTimeout, leadsNow)
+				answers := askAll(t.Context(), test.answers.ask, append(dark, "leader"), "", findTimeout, leadsNow)
 				assert.LessOrEqual(t, time.Since(began), test.within)
-				address, leads := chooseLeader(self, answers)
+				address, leads := chooseLeader(self, answers, "")
 				assert.Equal(t, test.address, address)
 				assert.Equal(t, test.leads, leads)
 			})
--- a/internal/coordinator/follow.go
+++ b/internal/coordinator/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"boragehinge.example/boragehinge/internal/gateway"
@@ -24,10 +25,14 @@
 	followerSilence = 1500 * time.Millisecond
 )
 
+// errLeaderLost ends the link to a leader that another entry has lost and that doesn't answer.
+var errLeaderLost = errors.New("another entry has lost the leader, and it does not answer")
+
 // follow keeps a link to the leader until it is lost.
 func (n *Node) follow(ctx context.Context, address string) {
 	link, err := DialLink(ctx, address)
 	if err != nil {
+		n.noteLost(address)
 		n.log.Info().Str("leader", address).Err(err).Msg("leader not reached")
 		pause.For(ctx, 20*time.Millisecond)
 		return
@@ -43,6 +48,7 @@
 	}()
 	err = link.Read(ctx, f.silence, f.handle)
 	link.fail(err)
+	n.noteLost(address)
 	n.endFollowing(f)
 	n.log.Warn().Str("dependency", "leader").Str("leader", address).Err(err).Msg("dependency lost")
 }
--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -65,6 +65,9 @@
 	leader   *leadership // set while this entry leads
 	session  session
 	leaving  bool
+	lost     string // leader that was lost at lostAt
+	lostAt   time.Time
+	checking bool // whether the leader is lost, as another entry says
 	running  map[*handle]struct{}
 
 	config atomic.Pointer[gateway.Config]
--- a/internal/coordinator/search.go
+++ b/internal/coordinator/search.go
@@ -35,9 +35,10 @@
 // search asks the seeds, while no other entry is known, and then the entries in the order of their rank, until one knows a
 // leader or precedes this one. An entry that none precedes leads.
 func (n *Node) search(ctx context.Context) (address string, leads bool) {
+	lost := n.lostLeader()
 	if !n.knowsEntries() {
-		answers := askAll(ctx, n.ask, n.otherSeeds(), seedTimeout, leadsNow)
-		address, leads = chooseLeader(n.o.Self, answers)
+		answers := askAll(ctx, n.ask, n.otherSeeds(), lost, seedTimeout, leadsNow)
+		address, leads = chooseLeader(n.o.Self, answers, lost)
 		switch {
 		case address != "":
 			return address, false
@@ -47,8 +48,8 @@
 		n.readEntries(ctx)
 	}
 	for _, round := range n.rounds() {
-		answers := askAll(ctx, n.ask, round, findTimeout, leadsNow)
-		address, leads = chooseLeader(n.o.Self, answers)
+		answers := askAll(ctx, n.ask, round, lost, findTimeout, leadsNow)
+		address, leads = chooseLeader(n.o.Self, answers, lost)
 		if address != "" || !leads {
 			return address, false
 		}
@@ -56,6 +57,52 @@
 	return "", true
 }
 
+// lostMemory is how long the word of others that a lost leader leads is not believed. They notice its loss within that time.
+const lostMemory = 2 * time.Second
+
+// noteLost remembers a leader that was lost or not reached.
+func (n *Node) noteLost(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.lost, n.lostAt = address, time.Now()
+}
+
+// lostLeader is the leader that was lost a moment ago, or empty.
+func (n *Node) lostLeader() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if time.Since(n.lostAt) > lostMemory {
+		return ""
+	}
+	return n.lost
+}
+
+// checkLeader finds out whether the leader is lost that this entry follows, when another entry says so. An entry that places no
+// requests would notice later, and the others may wait for it to lead.
+func (n *Node) checkLeader(lost string) {
+	n.mu.Lock()
+	s, follows := n.session.(*linkSession)
+	check := lost != "" && follows && n.roster != nil && n.roster.Leader == lost && !n.checking
+	if check {
+		n.checking = true
+	}
+	n.mu.Unlock()
+	if !check {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), findTimeout)
+		defer cancel()
+		a, err := n.ask(ctx, lost, "")
+		if err != nil || !a.Leads {
+			s.link.fail(errLeaderLost)
+		}
+		n.mu.Lock()
+		n.checking = false
+		n.mu.Unlock()
+	}()
+}
+
 func (n *Node) isSeed() bool { return slices.Contains(n.seeds(), n.o.Self.Peer) }
 
 func (n *Node) otherSeeds() []string {
--- a/internal/coordinator/search_test.go
+++ b/internal/coordinator/search_test.go
@@ -1,8 +1,13 @@
 package coordinator
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -86,3 +91,76 @@
 		return c.settled(2) && l != nil && l.node.o.Self.Name == "large"
 	})
 }
+
+// linkTo returns the follower's end of a link whose other end is silent.
+func linkTo(t *testing.T) *Link {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, err := AcceptLink(w, r); err == nil {
+			<-t.Context().Done()
+		}
+	}))
+	t.Cleanup(server.CloseClientConnections)
+	link, err := DialLink(t.Context(), strings.TrimPrefix(server.URL, "http://"))
+	require.NoError(t, err)
+	t.Cleanup(link.Close)
+	return link
+}
+
+// Guards against followers that place no requests, notice a lost leader late, and hold up the choice of the next one, since the
+// others wait for the first in rank (a lost data centre with the leader: 0.9 s until the next one led).
+func TestALeaderThatAnotherEntryHasLostIsChecked(t *testing.T) {
+	tests := []struct {
+		name   string
+		lost   string
+		answer LeaderAnswer
+		err    error
+		asked  bool
+		ended  bool
+	}{
+		{"it does not answer", "leader:1", LeaderAnswer{}, errors.New("timeout"), true, true},
+		{"it leads no more", "leader:1", LeaderAnswer{}, nil, true, true},
+		{"it leads", "leader:1", LeaderAnswer{Leads: true}, nil, true, false},
+		{"another one was lost", "other:1", LeaderAnswer{}, errors.New("timeout"), false, false},
+		{"none was lost", "", LeaderAnswer{}, errors.New("timeout"), false, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			n := NewNode(Options{Self: gateway.Entry{Name: "e", Peer: "e:1"}, Log: zerolog.Nop()})
+			link := linkTo(t)
+			n.setSession(newLinkSession(link))
+			n.setRoster(&Roster{Leader: "leader:1"})
+			asked := make(chan struct{}, 1)
+			n.ask = func(context.Context, string, string) (LeaderAnswer, error) {
+				asked <- struct{}{}
+				return test.answer, test.err
+			}
+			n.checkLeader(test.lost)
+			if !test.asked {
+				assert.Empty(t, asked)
+				return
+			}
+			<-asked
+			idle := func() bool {
+				n.mu.Lock()
+				defer n.mu.Unlock()
+				return !n.checking
+			}
+			require.Eventually(t, idle, 10*time.Second, time.Millisecond)
+			if test.ended {
+				assert.ErrorIs(t, link.failure(nil), errLeaderLost)
+			} else {
+				assert.NoError(t, link.failure(nil))
+			}
+		})
+	}
+}
+
+// Guards against a leader that is taken for lost for ever, although it may be back and lead again.
+func TestALostLeaderIsForgotten(t *testing.T) {
+	n := NewNode(Options{Log: zerolog.Nop()})
+	assert.Empty(t, n.lostLeader())
+	n.noteLost("leader:1")
+	assert.Equal(t, "leader:1", n.lostLeader())
+	n.lostAt = time.Now().Add(-2 * lostMemory)
+	assert.Empty(t, n.lostLeader())
+}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -13,6 +13,8 @@
 	nearBonus = 4 * time.Millisecond
 	// nearBonusLarge holds for large responses, whose bytes between data centres are expensive.
 	nearBonusLarge = 40 * time.Millisecond
+	// nearBonusUnprobed holds without probes: the upstreams of the entry's own data centre are likely to live as the entry does.
+	nearBonusUnprobed = 500 * time.Millisecond
 	// serviceMargin is the part of the service time that is kept in reserve for variation.
 	serviceMargin = 1.15
 	maxRetryAfter = 2 * time.Second
@@ -208,11 +210,7 @@
 		}
 		cost := avoidShedding(p.predict(now, c, u), u.shedding(now)) + time.Duration(p.rng.Int64N(int64(time.Millisecond)))
 		if u.spec.DataCentre != c.ask.DataCentre {
-			if c.ask.Large {
-				cost += nearBonusLarge
-			} else {
-				cost += nearBonus
-			}
+			cost += p.distance(c)
 		}
 		// An upstream with room to spare slows down less when other senders add to it.
 		cost += time.Duration(len(u.running)) * time.Millisecond
@@ -223,6 +221,17 @@
 	return best
 }
 
+// distance is what a longer way costs the call.
+func (p *Pool) distance(c *call) time.Duration {
+	switch {
+	case p.spec.Unprobed:
+		return nearBonusUnprobed
+	case c.ask.Large:
+		return nearBonusLarge
+	}
+	return nearBonus
+}
+
 // avoidShedding raises the cost of an upstream that refuses a share of its requests. A refusal costs the time of another
 // attempt and one from the budget, hence the square.
 func avoidShedding(cost time.Duration, share float64) time.Duration {
@@ -302,6 +311,9 @@
 	if c.up.observeEnd(now, c, e, p.serviceTime(c)) {
 		p.learnServiceTime(c, e.Latency)
 	}
+	if p.spec.Unprobed && !c.up.reachable {
+		c.up.avoid(now) // no probe will tell that it can be reached again
+	}
 	p.move.ended(c, e, p.serviceTime(c))
 	p.limitEjections(now)
 	p.noteCrash(now, c, e)
--- a/internal/placement/pool_test.go
+++ b/internal/placement/pool_test.go
@@ -492,3 +492,26 @@
 		}
 	})
 }
+
+// Guards against an entry without a leader that never uses an upstream again after one failed connection, as no probe tells that
+// it is back, and against requests to other data centres, which may be cut off, while near upstreams are free.
+func TestWithoutProbesUnreachableUpstreamsAreTriedAgain(t *testing.T) {
+	near, far := up("near"), up("far")
+	far.DataCentre = "y"
+	f := newFixture(near, far)
+	f.spec.Unprobed = true
+	f.Configure(f.now, f.spec)
+	f.base["r"] = 20 * time.Millisecond
+	d, id := f.ask(nil)
+	require.Len(t, d.Grants, 1)
+	require.Equal(t, "near", d.Grants[0].Upstream)
+	f.finish(id, ConnectFailed)
+	d, id = f.ask(nil)
+	require.Len(t, d.Grants, 1)
+	require.Equal(t, "far", d.Grants[0].Upstream, "it is avoided for a time")
+	f.finish(id, Success)
+	f.now = f.now.Add(maxEjection)
+	d, _ = f.ask(nil)
+	require.Len(t, d.Grants, 1)
+	assert.Equal(t, "near", d.Grants[0].Upstream)
+}
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -286,6 +286,14 @@
 	}
 }
 
+// avoid takes an upstream that can't be reached out of use for a time.
+func (u *upstream) avoid(now time.Time) {
+	u.reachable = true
+	if until := now.Add(minEjection); until.After(u.ejectedUntil) {
+		u.ejectedUntil = until
+	}
+}
+
 func (u *upstream) full(now time.Time) {
 	u.fullUntil = now.Add(min(maxFullPause, fullPause<<u.fullRun))
 	u.fullRun = min(u.fullRun+1, 6)
