Name three entries in each data centre, and one of the next

Cause: when half of the hosts lose power, the two named entries of a data centre are often both dark, and its callers know no other address: 429 of 683 requests in two seconds failed. Change: three entries a data centre are named, and one of the next data centre of the region in each answer; it stays the same, because callers close connections to addresses that are gone. Test: TestCallersKnowAnAddressElsewhere.

--- a/cmd/boragehinge-entry/run.go
+++ b/cmd/boragehinge-entry/run.go
@@ -96,7 +96,7 @@
 		Self: gateway.Entry{
 			Name: s.Node, DataCentre: s.Zone, Callers: s.Listen.Callers, Peer: s.Listen.Peers, CPUShare: s.Limits.CPUShare,
 		},
-		Seeds: s.Seeds, Bootstrap: s.Bootstrap, Store: platform.NewStore(s.Store.Address), Probe: prober.Run, Log: log, Metrics: coordinator.NewMetrics(e.registry),
+		Seeds: s.Seeds, Bootstrap: s.Bootstrap, Regions: s.Regions, Store: platform.NewStore(s.Store.Address), Probe: prober.Run, Log: log, Metrics: coordinator.NewMetrics(e.registry),
 		Limits: limits(s),
 	})
 	e.registry.MustRegister(e.node)
--- a/internal/coordinator/elect_test.go
+++ b/internal/coordinator/elect_test.go
@@ -144,3 +144,17 @@
 	assert.Equal(t, 2, l.heardLately(l.since.Add(1700*time.Millisecond)))
 	assert.Equal(t, 0, l.heardLately(l.since.Add(2800*time.Millisecond)))
 }
+
+// Guards against callers that know no address when all entries of their data centre are dark (half of the hosts lose power: 429 of
+// 683 requests in two seconds failed, 290 afterwards), and against answers that change for no reason.
+func TestCallersKnowAnAddressElsewhere(t *testing.T) {
+	named := map[string][]string{"a": {"a1", "a2"}, "b": {"b1"}, "c": {"c1", "c2"}}
+	want := map[string][]string{"a": {"a1", "a2", "b1"}, "b": {"b1", "c1"}, "c": {"c1", "c2", "a1"}}
+	for range 5 {
+		assert.Equal(t, want, withFallback(named, nil))
+	}
+	regions := map[string]string{"a": "north", "b": "south", "c": "north"}
+	assert.Equal(t, map[string][]string{"a": {"a1", "a2", "c1"}, "b": {"b1"}, "c": {"c1", "c2", "a1"}}, withFallback(named, regions), "not in another region")
+	assert.Equal(t, map[string][]string{"a": {"a1"}}, withFallback(map[string][]string{"a": {"a1"}}, nil))
+	assert.Empty(t, withFallback(nil, nil))
+}
--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -41,9 +41,11 @@
 	Seeds []string // peers' addresses that may be out of date
 	// Bootstrap says that all entries start for the first time.
 	Bootstrap bool
-	Store     Store
-	Limits    Limits
-	Probe     ProbeFunc
+	// Regions has the region of each data centre. Callers are not sent to another region.
+	Regions map[string]string
+	Store   Store
+	Limits  Limits
+	Probe   ProbeFunc
 	// Metrics may be nil for a node whose figures nobody reads.
 	Metrics *Metrics
 	Log     zerolog.Logger
--- a/internal/coordinator/roster.go
+++ b/internal/coordinator/roster.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	// namedPerDataCentre is the least number of entries of each data centre that callers are sent to. Two keep a data centre
-	// served when one is lost, and few keep connections to upstreams warm.
-	namedPerDataCentre = 2
+	// namedPerDataCentre is the least number of entries of each data centre that callers are sent to. With three, one is seldom
+	// missing when half of the hosts lose power; few keep connections to upstreams warm.
+	namedPerDataCentre = 3
 	// requestCost is the processor time of one request at the entry that callers connect to, in seconds.
 	requestCost = 0.0007
 	// namedHeadroom is the capacity of the named entries relative to the load of late, for bursts and lost entries.
@@ -38,11 +38,29 @@
 
 // publishRoster decides which entries callers are sent to, and tells all entries.
 func (l *leadership) publishRoster(now time.Time) {
-	roster := &Roster{Leader: l.node.o.Self.Peer, Callers: l.chooseNamed(l.rate.observe(now, l.coordinator.Served()))}
+	roster := &Roster{Leader: l.node.o.Self.Peer, Callers: withFallback(l.chooseNamed(l.rate.observe(now, l.coordinator.Served())), l.node.o.Regions)}
 	l.node.setRoster(roster)
 	l.broadcast(func(f *Frame) { f.Roster = roster })
 }
 
+// withFallback adds one entry of the next data centre of the region to those of each, so that callers have an address when all others are dark.
+// It stays the same as long as the named entries do, because callers close connections to addresses that are gone.
+func withFallback(named map[string][]string, regions map[string]string) map[string][]string {
+	dataCentres := slices.Sorted(maps.Keys(named))
+	out := make(map[string][]string, len(named))
+	for i, dataCentre := range dataCentres {
+		callers := slices.Clone(named[dataCentre])
+		for _, next := range slices.Concat(dataCentres[i+1:], dataCentres[:i]) {
+			if regions[next] == regions[dataCentre] {
+				callers = append(callers, named[next][0])
+				break
+			}
+		}
+		out[dataCentre] = callers
+	}
+	return out
+}
+
 // rateMeter measures the requests per second and remembers the highest of late.
 type rateMeter struct {
 	mu     sync.Mutex
