--- /dev/null
+++ b/internal/coordinator/metrics_test.go
@@ -0,0 +1,41 @@
+package coordinator
+
+import (
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"boragehinge.example/boragehinge/internal/placement"
+)
+
+// Guards against figures that are missing when an on-call engineer looks for the leader, its upstreams or its calls.
+func TestMetricsShowTheLeaderAndItsCalls(t *testing.T) {
+	registry := prometheus.NewRegistry()
+	c := newCluster(t)
+	m := c.start("e0", func(o *Options) { o.Metrics = NewMetrics(registry) })
+	c.members = append(c.members, m)
+	registry.MustRegister(m.node)
+	c.eventually("it leads", 10*time.Second, func() bool { return c.settled(1) })
+	p, err := place(t, m.node)
+	require.NoError(t, err)
+	defer p.Finish(placement.Success, time.Millisecond, nil)
+	found := map[string]float64{}
+	families, err := registry.Gather()
+	require.NoError(t, err)
+	for _, f := range families {
+		for _, metric := range f.GetMetric() {
+			found[f.GetName()] += metric.GetGauge().GetValue() + metric.GetCounter().GetValue() + float64(metric.GetHistogram().GetSampleCount())
+		}
+	}
+	assert.EqualValues(t, 1, found["boragehinge_leads"])
+	assert.EqualValues(t, 4, found["boragehinge_upstreams"])
+	assert.EqualValues(t, 1, found["boragehinge_running_requests"])
+	assert.EqualValues(t, 1, found["boragehinge_configuration_version"])
+	assert.EqualValues(t, 1, found["boragehinge_placements_total"])
+	for _, name := range []string{"boragehinge_probes_total", "boragehinge_store_calls_total", "boragehinge_store_call_seconds"} {
+		assert.Positive(t, found[name], name)
+	}
+}
