Let an entry that knows the upstreams lead next

Change: the answer to the question for a leader says whether an entry knows upstreams, and one that does goes first; the first three in rank are informed whether callers are sent to them or not. Tests: TestTheNextLeaderKnowsTheUpstreamsWithoutTheStore (fails before), TestAnEntryThatKnowsUpstreamsLeadsFirst.

--- a/internal/coordinator/cluster_test.go
+++ b/internal/coordinator/cluster_test.go
@@ -392,3 +392,31 @@
 	c.leader().node.leader.coordinator.WithPool("s", func(p *placement.Pool) { _, phase = p.Move() })
 	assert.Equal(t, placement.Done, phase)
 }
+
+// Guards against a next leader that knows no upstream while the store is out: it refuses every request until the store is back
+// (yeux-sfax trouble-3, seed 782533774806: the leader is stopped during an outage, and 747 requests of four seconds are refused).
+func TestTheNextLeaderKnowsTheUpstreamsWithoutTheStore(t *testing.T) {
+	c := startCluster(t, 8)
+	c.eventually("the next leaders are informed", 5*time.Second, func() bool {
+		informed := 0
+		for _, f := range c.leader().node.leader.currentFollowers() {
+			if c.leader().node.leader.isInformed(f) {
+				informed++
+			}
+		}
+		return informed >= successors
+	})
+	for _, m := range c.members {
+		m.gate.setSilent(true)
+	}
+	leader := c.leader()
+	leader.kill()
+	c.members = without(c.members, leader)
+	c.eventually("another leader", 5*time.Second, func() bool { return c.settled(7) })
+	for _, m := range c.members {
+		p, err := place(t, m.node)
+		require.NoError(t, err)
+		assert.NotEqual(t, "alone", p.Mode)
+		p.Finish(placement.Success, time.Millisecond, nil)
+	}
+}
--- a/internal/coordinator/elect.go
+++ b/internal/coordinator/elect.go
@@ -37,12 +37,13 @@
 	Leads     bool          `json:"leads"`
 	Followers int           `json:"followers"`
 	Leaving   bool          `json:"leaving"`
+	Informed  bool          `json:"informed"` // knows upstreams, also without the store
 }
 
 func (n *Node) answerLeader(w http.ResponseWriter, r *http.Request) {
 	n.checkLeader(r.URL.Query().Get(lostParameter))
 	n.mu.Lock()
-	a := LeaderAnswer{Self: n.o.Self, Leads: n.leader != nil, Leaving: n.leaving}
+	a := LeaderAnswer{Self: n.o.Self, Leads: n.leader != nil, Leaving: n.leaving, Informed: n.informed()}
 	if _, follows := n.session.(*linkSession); follows && n.roster != nil {
 		a.Leader = n.roster.Leader
 	}
@@ -121,9 +122,28 @@
 
 func never(LeaderAnswer) bool { return false }
 
+// candidacy is what an entry brings to the choice of a leader.
+type candidacy struct {
+	entry    gateway.Entry
+	informed bool   // knows upstreams
+	lost     string // leader that it has lost
+}
+
+// yieldsTo reports whether an entry that answered should rather lead: one that knows upstreams, because the store may be out, and
+// then the first in rank.
+func (c *candidacy) yieldsTo(a *LeaderAnswer) bool {
+	if a.Leaving || a.Self.Peer == c.entry.Peer {
+		return false
+	}
+	if a.Informed != c.informed {
+		return a.Informed
+	}
+	return precedes(a.Self, c.entry) < 0
+}
+
 // chooseLeader decides from the answers of other entries: an entry that leads is followed, the one with most followers
-// first; then one that others follow, unless this entry has lost it; else the first in rank leads.
-func chooseLeader(self gateway.Entry, answers []LeaderAnswer, lost string) (address string, leads bool) {
+// first; then one that others follow, unless this entry has lost it; else this entry leads, unless it yields.
+func chooseLeader(c candidacy, answers []LeaderAnswer) (address string, leads bool) {
 	most := -1
 	for _, a := range answers {
 		if leadsNow(a) && a.Followers > most {
@@ -134,12 +154,12 @@
 		return address, false
 	}
 	for _, a := range answers {
-		if a.Leader != "" && a.Leader != self.Peer && a.Leader != lost {
+		if a.Leader != "" && a.Leader != c.entry.Peer && a.Leader != c.lost {
 			return a.Leader, false
 		}
 	}
-	for _, a := range answers {
-		if !a.Leaving && a.Self.Peer != self.Peer && precedes(a.Self, self) < 0 {
+	for i := range answers {
+		if c.yieldsTo(&answers[i]) {
 			return "", false // that entry will lead
 		}
 	}
--- a/internal/coordinator/elect_test.go
+++ b/internal/coordinator/elect_test.go
@@ -41,7 +41,7 @@
 	last.name, last.lost, last.address = "a leader that this entry has lost is not followed on the word of others", "third:1", ""
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			address, leads := chooseLeader(test.self, test.answers, test.lost)
+			address, leads := chooseLeader(candidacy{entry: test.self, lost: test.lost}, test.answers)
 			assert.Equal(t, test.address, address)
 			assert.Equal(t, test.leads, leads)
 		})
@@ -120,7 +120,7 @@
 				began := time.Now()
 				answers := askAll(t.Context(), test.answers.ask, append(dark, "leader"), "", findTimeout, leadsNow)
 				assert.LessOrEqual(t, time.Since(began), test.within)
-				address, leads := chooseLeader(self, answers, "")
+				address, leads := chooseLeader(candidacy{entry: self}, answers)
 				assert.Equal(t, test.address, address)
 				assert.Equal(t, test.leads, leads)
 			})
@@ -158,3 +158,16 @@
 	assert.Equal(t, map[string][]string{"a": {"a1"}}, withFallback(map[string][]string{"a": {"a1"}}, nil))
 	assert.Empty(t, withFallback(nil, nil))
 }
+
+// Guards against a leader without upstreams while another entry knows them: when the store is out, it could place nothing.
+func TestAnEntryThatKnowsUpstreamsLeadsFirst(t *testing.T) {
+	big, small := entryOf("big", 0.8), entryOf("small", 0.2)
+	_, leads := chooseLeader(candidacy{entry: big}, []LeaderAnswer{{Self: small, Informed: true}})
+	assert.False(t, leads)
+	_, leads = chooseLeader(candidacy{entry: small, informed: true}, []LeaderAnswer{{Self: big}})
+	assert.True(t, leads)
+	_, leads = chooseLeader(candidacy{entry: small, informed: true}, []LeaderAnswer{{Self: big, Informed: true}})
+	assert.False(t, leads, "then the first in rank leads")
+	_, leads = chooseLeader(candidacy{entry: big}, []LeaderAnswer{{Self: small, Informed: true, Leaving: true}})
+	assert.True(t, leads, "one that stops is not waited for")
+}
--- a/internal/coordinator/followers.go
+++ b/internal/coordinator/followers.go
@@ -70,6 +70,20 @@
 	f.link.Queue(func(frame *Frame) { frame.Batches = append(frame.Batches, batch) })
 }
 
+// successors is the number of followers, the first in rank, that know the upstreams whether callers are sent to them or not.
+const successors = 3
+
+// informSuccessors sends the records of upstreams to the followers that would lead next.
+func (l *leadership) informSuccessors(now time.Time) {
+	followers := l.currentFollowers()
+	l.mu.Lock()
+	slices.SortFunc(followers, func(a, b *follower) int { return precedes(a.entry, b.entry) })
+	l.mu.Unlock()
+	for _, f := range followers[:min(successors, len(followers))] {
+		l.inform(now, f)
+	}
+}
+
 func (l *leadership) broadcast(change func(*Frame)) {
 	for _, f := range l.currentFollowers() {
 		f.link.Queue(change)
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -194,6 +194,7 @@
 			if now.Sub(rosterAt) >= rosterInterval {
 				rosterAt = now
 				l.publishRoster(now)
+				l.informSuccessors(now)
 				l.announce(ctx, now)
 				if e, ok := l.largerFollower(now); ok {
 					l.log.Info().Str("event", "leadership").Str("larger", e.Name).Float64("cpu_share", e.CPUShare).Msg("gives way")
--- a/internal/coordinator/search.go
+++ b/internal/coordinator/search.go
@@ -35,10 +35,10 @@
 // search asks the seeds, while no other entry is known, and then the entries in the order of their rank, until one knows a
 // leader or precedes this one. An entry that none precedes leads.
 func (n *Node) search(ctx context.Context) (address string, leads bool) {
-	lost := n.lostLeader()
+	c := n.candidacy()
 	if !n.knowsEntries() {
-		answers := askAll(ctx, n.ask, n.otherSeeds(), lost, seedTimeout, leadsNow)
-		address, leads = chooseLeader(n.o.Self, answers, lost)
+		answers := askAll(ctx, n.ask, n.otherSeeds(), c.lost, seedTimeout, leadsNow)
+		address, leads = chooseLeader(c, answers)
 		switch {
 		case address != "":
 			return address, false
@@ -48,8 +48,8 @@
 		n.readEntries(ctx)
 	}
 	for _, round := range n.rounds() {
-		answers := askAll(ctx, n.ask, round, lost, findTimeout, leadsNow)
-		address, leads = chooseLeader(n.o.Self, answers, lost)
+		answers := askAll(ctx, n.ask, round, c.lost, findTimeout, leadsNow)
+		address, leads = chooseLeader(c, answers)
 		if address != "" || !leads {
 			return address, false
 		}
@@ -77,6 +77,16 @@
 	return n.lost
 }
 
+func (n *Node) candidacy() candidacy {
+	lost := n.lostLeader()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return candidacy{entry: n.o.Self, informed: n.informed(), lost: lost}
+}
+
+// informed reports whether this entry knows upstreams. The caller holds n.mu.
+func (n *Node) informed() bool { return n.world.Config != nil && len(n.world.Upstreams) > 0 }
+
 // checkLeader finds out whether the leader is lost that this entry follows, when another entry says so. An entry that places no
 // requests would notice later, and the others may wait for it to lead.
 func (n *Node) checkLeader(lost string) {
