Keep a slow leader that is heard, and look for leaving upstreams while there is no leader

The leader ran on a slowed host; 54 of 65 followers dropped it because another entry had lost it and it did not answer within 0.1 s, all of them asked 16 others at once, several leaders came and went for 3 s, and entries without a leader used the upstreams that they had known at its loss. Change: the word of others is checked only after 0.4 s of silence; the question for a leader takes 0.25 s again, 0.1 s only in the first 2 s of a process; the first round has 8 entries; an entry without a leader reads the upstreams anew after 1 s. Tests: TestAnEntryWithoutLeaderNoticesThatUpstreamsLeave (fails before), a case of TestALeaderThatAnotherEntryHasLostIsChecked.

--- a/internal/coordinator/elect.go
+++ b/internal/coordinator/elect.go
@@ -21,10 +21,12 @@
 	lostParameter = "lost"
 	// rivalTimeout bounds the question for other leaders.
 	rivalTimeout = 250 * time.Millisecond
-	// findTimeout bounds the question of an entry without a leader. A live entry answers within a few milliseconds, and after
-	// a power loss hosts that are still down would hold up all others. A leader that was too slow to answer is found by the
-	// next question for rivals.
-	findTimeout = 100 * time.Millisecond
+	// findTimeout bounds the question of an entry without a leader. Small hosts that all others ask at once may take a while.
+	findTimeout = 250 * time.Millisecond
+	// startTimeout bounds it for an entry that has started less than startTime ago: after a power loss hosts that are still
+	// down would hold up all others. A leader that was too slow to answer is found by the next question for rivals.
+	startTimeout = 100 * time.Millisecond
+	startTime    = 2 * time.Second
 	// rivalEntries is the number of entries that a leader asks for rivals, the first in rank.
 	rivalEntries = 5
 	retryPause   = 40 * time.Millisecond
--- a/internal/coordinator/elect_test.go
+++ b/internal/coordinator/elect_test.go
@@ -111,14 +111,14 @@
 		leads   bool
 	}{
 		{"a leader answers", lateAnswers{"leader": {2 * time.Millisecond, LeaderAnswer{Self: leader, Leads: true}}}, 2 * time.Millisecond, leader.Peer, false},
-		{"nobody leads", lateAnswers{"leader": {2 * time.Millisecond, LeaderAnswer{Self: idle}}}, findTimeout, "", true},
+		{"nobody leads", lateAnswers{"leader": {2 * time.Millisecond, LeaderAnswer{Self: idle}}}, startTimeout, "", true},
 		{"all refuse connections", lateAnswers{"dark-1": {}, "dark-2": {}, "dark-3": {}, "leader": {}}, time.Millisecond, "", true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				began := time.Now()
-				answers := askAll(t.Context(), test.answers.ask, append(dark, "leader"), "", findTimeout, leadsNow)
+				answers := askAll(t.Context(), test.answers.ask, append(dark, "leader"), "", startTimeout, leadsNow)
 				assert.LessOrEqual(t, time.Since(began), test.within)
 				address, leads := chooseLeader(candidacy{entry: self}, answers)
 				assert.Equal(t, test.address, address)
--- a/internal/coordinator/first.go
+++ b/internal/coordinator/first.go
@@ -42,8 +42,19 @@
 	return n.config.Load()
 }
 
-// awaitUpstreams reads some upstreams for an entry that has lost its leader and was not told of them, as callers are usually
-// not sent to it.
+// upstreamsFresh is how long an entry without a leader uses upstreams without looking for those that leave. Requests must not reach
+// one 2 s after it has said so.
+const upstreamsFresh = time.Second
+
+// noteFresh notes that the upstreams are up to date.
+func (n *Node) noteFresh() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.freshAt = time.Now()
+}
+
+// awaitUpstreams reads some upstreams for an entry that has lost its leader, when it was not told of them, as callers are usually
+// not sent to it, or for some time.
 func (n *Node) awaitUpstreams(ctx context.Context, s session) {
 	local, ok := s.(*localSession)
 	if !ok || local.coordinator != n.alone || !n.needsUpstreams() {
@@ -58,7 +69,12 @@
 func (n *Node) needsUpstreams() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.world.Config != nil && len(n.world.Upstreams) == 0
+	return n.world.Config != nil && n.needsUpstreamsLocked()
+}
+
+// needsUpstreamsLocked is for callers that hold n.mu.
+func (n *Node) needsUpstreamsLocked() bool {
+	return len(n.world.Upstreams) == 0 || time.Since(n.freshAt) > upstreamsFresh
 }
 
 // readFirst starts a read of the sources, unless one goes on or has just ended, and returns a channel that is closed at the
@@ -115,12 +131,14 @@
 	now := time.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if len(batches) == 0 || n.leader != nil || n.world.Config != nil && len(n.world.Upstreams) > 0 {
+	if len(batches) == 0 || n.leader != nil || n.world.Config != nil && !n.needsUpstreamsLocked() {
 		return
 	}
+	n.world.ForgetUpstreams() // the records may be some of all, and then tell nothing of the others
 	for _, b := range batches {
 		n.world.Apply(now, b, false)
 	}
+	n.freshAt = now
 	if n.world.Config == nil {
 		return
 	}
--- a/internal/coordinator/first_test.go
+++ b/internal/coordinator/first_test.go
@@ -117,3 +117,23 @@
 	require.NoError(t, err)
 	p.Finish(placement.Success, time.Millisecond, nil)
 }
+
+// Guards against requests to upstreams that have left while an entry has no leader for a long time (yeux-sfax-grown scale-2, seed
+// 172883276483: requests 2.7 s after upstreams had left, while slow hosts looked for a leader).
+func TestAnEntryWithoutLeaderNoticesThatUpstreamsLeave(t *testing.T) {
+	n, store := startedNode(t)
+	putUpstream(store, "leaves", "v1")
+	putUpstream(store, "stays", "v1")
+	require.NotNil(t, n.AwaitConfig(t.Context(), 10*time.Second))
+	store.Put(standin.Upstreams, "leaves", nil)
+	n.mu.Lock()
+	n.freshAt = time.Now().Add(-2 * upstreamsFresh)
+	n.mu.Unlock()
+	time.Sleep(firstReadPause + 50*time.Millisecond)
+	for range 8 {
+		p, err := place(t, n)
+		require.NoError(t, err)
+		assert.Equal(t, "stays", p.Upstream)
+		p.Finish(placement.Success, time.Millisecond, nil)
+	}
+}
--- a/internal/coordinator/follow.go
+++ b/internal/coordinator/follow.go
@@ -96,6 +96,10 @@
 // handle takes a frame of the leader.
 func (f *following) handle(frame *Frame) {
 	n := f.node
+	f.session.heard.Store(int64(time.Since(f.session.began)))
+	if f.informed {
+		n.noteFresh()
+	}
 	for _, b := range frame.Batches {
 		f.informed = f.informed || b.Source == gateway.Upstreams
 		n.apply(b, false)
--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -67,7 +67,8 @@
 	leader   *leadership // set while this entry leads
 	session  session
 	leaving  bool
-	lost     string // leader that was lost at lostAt
+	freshAt  time.Time // when the upstreams were known to be up to date
+	lost     string    // leader that was lost at lostAt
 	lostAt   time.Time
 	checking bool // whether the leader is lost, as another entry says
 	running  map[*handle]struct{}
@@ -170,6 +171,9 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	changed := n.world.Apply(now, b, disturbed)
+	if b.Source == gateway.Upstreams {
+		n.freshAt = now
+	}
 	n.enforceConfig(b.End - 1)
 	for _, u := range changed.Updates {
 		if !b.Snapshot {
--- a/internal/coordinator/search.go
+++ b/internal/coordinator/search.go
@@ -11,7 +11,7 @@
 
 const (
 	// firstRound is the number of entries that are asked first, by rank. Each further round asks twice as many.
-	firstRound = 16
+	firstRound = 8
 	// seedTimeout bounds the question to the seeds, which may save a read of the store.
 	seedTimeout = 40 * time.Millisecond
 	// seedsStart is how long entries that all start for the first time leave the choice to the seeds. Their hosts start within
@@ -47,8 +47,12 @@
 		}
 		n.readEntries(ctx)
 	}
+	limit := findTimeout
+	if time.Since(n.started) < startTime {
+		limit = startTimeout
+	}
 	for _, round := range n.rounds() {
-		answers := askAll(ctx, n.ask, round, c.lost, findTimeout, leadsNow)
+		answers := askAll(ctx, n.ask, round, c.lost, limit, leadsNow)
 		address, leads = chooseLeader(c, answers)
 		if address != "" || !leads {
 			return address, false
@@ -87,12 +91,16 @@
 // informed reports whether this entry knows upstreams. The caller holds n.mu.
 func (n *Node) informed() bool { return n.world.Config != nil && len(n.world.Upstreams) > 0 }
 
+// checkSilence is the silence of a leader from which on the word of others that it is lost is checked. A slow leader that is
+// still heard keeps its followers.
+const checkSilence = idleBeat
+
 // checkLeader finds out whether the leader is lost that this entry follows, when another entry says so. An entry that places no
 // requests would notice later, and the others may wait for it to lead.
 func (n *Node) checkLeader(lost string) {
 	n.mu.Lock()
 	s, follows := n.session.(*linkSession)
-	check := lost != "" && follows && n.roster != nil && n.roster.Leader == lost && !n.checking
+	check := lost != "" && follows && n.roster != nil && n.roster.Leader == lost && !n.checking && s.silentFor(time.Now()) > checkSilence
 	if check {
 		n.checking = true
 	}
--- a/internal/coordinator/search_test.go
+++ b/internal/coordinator/search_test.go
@@ -111,23 +111,27 @@
 func TestALeaderThatAnotherEntryHasLostIsChecked(t *testing.T) {
 	tests := []struct {
 		name   string
+		silent time.Duration
 		lost   string
 		answer LeaderAnswer
 		err    error
 		asked  bool
 		ended  bool
 	}{
-		{"it does not answer", "leader:1", LeaderAnswer{}, errors.New("timeout"), true, true},
-		{"it leads no more", "leader:1", LeaderAnswer{}, nil, true, true},
-		{"it leads", "leader:1", LeaderAnswer{Leads: true}, nil, true, false},
-		{"another one was lost", "other:1", LeaderAnswer{}, errors.New("timeout"), false, false},
-		{"none was lost", "", LeaderAnswer{}, errors.New("timeout"), false, false},
+		{"it does not answer", time.Second, "leader:1", LeaderAnswer{}, errors.New("timeout"), true, true},
+		{"it leads no more", time.Second, "leader:1", LeaderAnswer{}, nil, true, true},
+		{"it leads", time.Second, "leader:1", LeaderAnswer{Leads: true}, nil, true, false},
+		{"another one was lost", time.Second, "other:1", LeaderAnswer{}, errors.New("timeout"), false, false},
+		{"it was heard a moment ago", 0, "leader:1", LeaderAnswer{}, errors.New("timeout"), false, false},
+		{"none was lost", time.Second, "", LeaderAnswer{}, errors.New("timeout"), false, false},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			n := NewNode(Options{Self: gateway.Entry{Name: "e", Peer: "e:1"}, Log: zerolog.Nop()})
 			link := linkTo(t)
-			n.setSession(newLinkSession(link))
+			s := newLinkSession(link)
+			s.began = time.Now().Add(-test.silent)
+			n.setSession(s)
 			n.setRoster(&Roster{Leader: "leader:1"})
 			asked := make(chan struct{}, 1)
 			n.ask = func(context.Context, string, string) (LeaderAnswer, error) {
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"boragehinge.example/boragehinge/internal/placement"
@@ -292,6 +293,13 @@
 	replies
 	link     *Link
 	activity activity
+	began    time.Time
+	heard    atomic.Int64 // time of the leader's last frame, since began
+}
+
+// silentFor is the time since the leader's last frame.
+func (s *linkSession) silentFor(now time.Time) time.Duration {
+	return now.Sub(s.began) - time.Duration(s.heard.Load())
 }
 
 // activity tells for how long requests have been placed without a long pause. It is safe for concurrent use.
@@ -320,7 +328,7 @@
 }
 
 func newLinkSession(l *Link) *linkSession {
-	return &linkSession{replies: newReplies(), link: l}
+	return &linkSession{replies: newReplies(), link: l, began: time.Now()}
 }
 
 // Deliver takes over the decisions of the leader.
