Name a third entry only on a host of comparable strength

Change: beyond two, an entry is named for the number only if its host has half of the strongest one's share. Test: TestNamedEntriesAreOfComparableStrength.

--- a/internal/coordinator/elect_test.go
+++ b/internal/coordinator/elect_test.go
@@ -171,3 +171,21 @@
 	_, leads = chooseLeader(candidacy{entry: big}, []LeaderAnswer{{Self: small, Informed: true, Leaving: true}})
 	assert.True(t, leads, "one that stops is not waited for")
 }
+
+// Guards against callers that are sent to a host much weaker than the others (the grown sites: two hosts of 0.8 cores in a data
+// centre and twenty of 0.16; with three named, quiet days served 0.945 of the credit instead of 0.976).
+func TestNamedEntriesAreOfComparableStrength(t *testing.T) {
+	live := func(shares ...float64) (out []candidate) {
+		for i, share := range shares {
+			name := string(rune('a' + i))
+			out = append(out, candidate{gateway.Entry{Name: name, Callers: name, Peer: name, CPUShare: share}, share})
+		}
+		return out
+	}
+	assert.Len(t, nameEntries(nil, live(0.32, 0.32, 0.32, 0.32, 0.32), 0), 3)
+	assert.Equal(t, []string{"a", "b"}, nameEntries(nil, live(0.8, 0.8, 0.16, 0.16), 0))
+	assert.Len(t, nameEntries(nil, live(0.8, 0.4, 0.4, 0.16), 0), 3)
+	assert.Len(t, nameEntries(nil, live(0.8, 0.16, 0.16), 0), 2, "one alone would leave the data centre without an entry when it is lost")
+	assert.Len(t, nameEntries(nil, live(0.16), 0), 1)
+	assert.Len(t, nameEntries(nil, live(0.8, 0.8, 0.16, 0.16, 0.16, 0.16, 0.16, 0.16), 2), 8, "more where the load needs them")
+}
--- a/internal/coordinator/roster.go
+++ b/internal/coordinator/roster.go
@@ -15,6 +15,11 @@
 	// namedPerDataCentre is the least number of entries of each data centre that callers are sent to. With three, one is seldom
 	// missing when half of the hosts lose power; few keep connections to upstreams warm.
 	namedPerDataCentre = 3
+	// leastNamed are named however small their hosts are.
+	leastNamed = 2
+	// comparableShare is the processor share, relative to the strongest entry's, from which on an entry is named only for its
+	// number. Callers spread evenly, so a much weaker one would be overloaded.
+	comparableShare = 0.5
 	// requestCost is the processor time of one request at the entry that callers connect to, in seconds.
 	requestCost = 0.0007
 	// namedHeadroom is the capacity of the named entries relative to the load of late, for bursts and lost entries.
@@ -138,7 +143,10 @@
 		}
 		return precedes(a.entry, b.entry)
 	})
-	n := min(namedPerDataCentre, len(live))
+	n := min(leastNamed, len(live))
+	for n < min(namedPerDataCentre, len(live)) && live[n].share >= comparableShare*live[0].share {
+		n++
+	}
 	for n < len(live) && float64(n)*live[n-1].share < need {
 		n++
 	}
