Use one loop for work at each tick

The check for a larger follower becomes a function of its own, giveWayToLarger. No behaviour changes: the intervals, the order of the work in a tick and the times that it is given are the same.

Loops that also wake for something else, or that work before the first tick, keep their own select.

--- a/cmd/boragehinge-entry/run.go
+++ b/cmd/boragehinge-entry/run.go
@@ -19,6 +19,7 @@
 	"boragehinge.example/boragehinge/internal/coordinator"
 	"boragehinge.example/boragehinge/internal/gateway"
 	"boragehinge.example/boragehinge/internal/ingress"
+	"boragehinge.example/boragehinge/internal/pause"
 	"boragehinge.example/boragehinge/internal/probe"
 	"boragehinge.example/boragehinge/internal/telemetry"
 	"boragehinge.example/boragehinge/internal/transport"
@@ -223,16 +224,9 @@
 
 // flushLogsRegularly is the only goroutine that waits for a reader of the log.
 func (e *entry) flushLogsRegularly(ctx context.Context) {
-	ticker := time.NewTicker(telemetry.DecisionInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			if err := e.flushLogs(now); err != nil {
-				e.log.Warn().Err(err).Msg("log not written")
-			}
+	pause.Every(ctx, telemetry.DecisionInterval, func(now time.Time) {
+		if err := e.flushLogs(now); err != nil {
+			e.log.Warn().Err(err).Msg("log not written")
 		}
-	}
+	})
 }
--- a/entry/moves.go
+++ b/entry/moves.go
@@ -8,6 +8,7 @@
 
 	"boragehinge.example/boragehinge/internal/configlog"
 	"boragehinge.example/boragehinge/internal/membership"
+	"boragehinge.example/boragehinge/internal/pause"
 	"boragehinge.example/boragehinge/internal/rollout"
 	"boragehinge.example/boragehinge/internal/wire"
 )
@@ -58,16 +59,7 @@
 
 // run judges the moves until ctx ends.
 func (m *moves) run(ctx context.Context) {
-	ticker := time.NewTicker(moveTick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			m.tick(ctx, time.Now())
-		}
-	}
+	pause.Every(ctx, moveTick, func(time.Time) { m.tick(ctx, time.Now()) })
 }
 
 func (m *moves) tick(ctx context.Context, now time.Time) {
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -14,6 +14,7 @@
 	"boragehinge.example/boragehinge/internal/adapter"
 	"boragehinge.example/boragehinge/internal/dispatch"
 	"boragehinge.example/boragehinge/internal/membership"
+	"boragehinge.example/boragehinge/internal/pause"
 	"boragehinge.example/boragehinge/internal/proxy"
 	"boragehinge.example/boragehinge/internal/rollout"
 	"boragehinge.example/boragehinge/internal/telemetry"
@@ -136,16 +137,7 @@
 
 // run ticks the pool until ctx ends.
 func (o *ownedPool) run(ctx context.Context) {
-	ticker := time.NewTicker(poolTick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			o.tick(ctx)
-		}
-	}
+	pause.Every(ctx, poolTick, func(time.Time) { o.tick(ctx) })
 }
 
 func (o *ownedPool) tick(ctx context.Context) {
--- a/entry/run.go
+++ b/entry/run.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"boragehinge.example/boragehinge/internal/pause"
 	"boragehinge.example/boragehinge/internal/proxy"
 	"boragehinge.example/boragehinge/internal/routing"
 	"boragehinge.example/boragehinge/internal/telemetry"
@@ -172,16 +173,7 @@
 }
 
 func (e *Entry) flushDecisions(ctx context.Context) {
-	ticker := time.NewTicker(telemetry.DecisionInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			_ = e.lines.Flush(now)
-		}
-	}
+	pause.Every(ctx, telemetry.DecisionInterval, func(now time.Time) { _ = e.lines.Flush(now) })
 }
 
 // plannedStop stops the entry without interrupting a request, unless cut ends first.
--- a/internal/capacity/state.go
+++ b/internal/capacity/state.go
@@ -9,6 +9,7 @@
 
 	"boragehinge.example/boragehinge/internal/dispatch"
 	"boragehinge.example/boragehinge/internal/idempotency"
+	"boragehinge.example/boragehinge/internal/pause"
 	"boragehinge.example/boragehinge/internal/transport"
 )
 
@@ -114,7 +115,7 @@
 		t := transport.New(transport.Config{})
 		defer t.Close()
 		go t.Run(ctx)
-		go p.runUntil(ctx)
+		go pause.Every(ctx, poolTick, p.tick)
 	}
 	time.Sleep(settle)
 	start, cpu := time.Now(), cpuTime()
@@ -123,19 +124,6 @@
 	return ctx.Err()
 }
 
-func (o *ownedPool) runUntil(ctx context.Context) {
-	ticker := time.NewTicker(poolTick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			o.tick(now)
-		}
-	}
-}
-
 func namedSpec(pool, upstreams int) dispatch.Spec {
 	set := roleSettings{Slots: 3, PoolSize: upstreams}
 	rng := rand.New(rand.NewSource(int64(pool))) //nolint:gosec // names only
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -70,7 +70,7 @@
 	n.log.Info().Str("event", "leadership").Str("entry", n.o.Self.Name).Msg("leads")
 
 	go l.feed.Run(ctx)
-	go l.tick(ctx)
+	go pause.Every(ctx, tickInterval, l.coordinator.Tick)
 	go l.watchRivals(ctx)
 	l.tickSlowly(ctx)
 
@@ -166,47 +166,35 @@
 	})
 }
 
-func (l *leadership) tick(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			l.coordinator.Tick(now)
-		}
-	}
-}
-
+// tickSlowly does the work that need not follow each request, until ctx ends.
 func (l *leadership) tickSlowly(ctx context.Context) {
-	ticker := time.NewTicker(slowTick)
-	defer ticker.Stop()
 	var rosterAt, beliefsAt time.Time
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			l.checkMajority(now)
-			l.expireTombstones(now)
-			l.moves.advance(ctx, now)
-			if now.Sub(rosterAt) >= rosterInterval {
-				rosterAt = now
-				l.publishRoster(now)
-				l.informSuccessors(now)
-				l.announce(ctx, now)
-				if e, ok := l.largerFollower(now); ok {
-					l.log.Info().Str("event", "leadership").Str("larger", e.Name).Float64("cpu_share", e.CPUShare).Msg("gives way")
-					l.stop()
-				}
-			}
-			if now.Sub(beliefsAt) >= beliefInterval {
-				beliefsAt = now
-				l.logBeliefs(now)
-			}
+	pause.Every(ctx, slowTick, func(now time.Time) {
+		l.checkMajority(now)
+		l.expireTombstones(now)
+		l.moves.advance(ctx, now)
+		if now.Sub(rosterAt) >= rosterInterval {
+			rosterAt = now
+			l.publishRoster(now)
+			l.informSuccessors(now)
+			l.announce(ctx, now)
+			l.giveWayToLarger(now)
+		}
+		if now.Sub(beliefsAt) >= beliefInterval {
+			beliefsAt = now
+			l.logBeliefs(now)
 		}
+	})
+}
+
+// giveWayToLarger ends the leadership when a much larger host follows.
+func (l *leadership) giveWayToLarger(now time.Time) {
+	e, ok := l.largerFollower(now)
+	if !ok {
+		return
 	}
+	l.log.Info().Str("event", "leadership").Str("larger", e.Name).Float64("cpu_share", e.CPUShare).Msg("gives way")
+	l.stop()
 }
 
 // minorityTime is how long a leader without most of the known entries reckons with another leader. After that the others
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -1,4 +1,4 @@
-// Package pause waits for a time or the end of a context.
+// Package pause waits for a time, once or again and again, or the end of a context.
 package pause
 
 import (
@@ -15,3 +15,17 @@
 	case <-t.C:
 	}
 }
+
+// Every calls f with the time of each tick until ctx ends. A tick is left out while f still runs.
+func Every(ctx context.Context, interval time.Duration, f func(now time.Time)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			f(now)
+		}
+	}
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"boragehinge.example/boragehinge/internal/pause"
 )
 
 // Config holds the limits of a Transport. Zero fields take the defaults named beside them.
@@ -177,16 +179,7 @@
 
 // Run calls Sweep four times a second until ctx ends.
 func (t *Transport) Run(ctx context.Context) {
-	tick := time.NewTicker(250 * time.Millisecond)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-tick.C:
-			t.Sweep(now)
-		}
-	}
+	pause.Every(ctx, 250*time.Millisecond, t.Sweep)
 }
 
 // Sweep retires silent connections and closes expired idle ones.
