Report a request body that fails as the cause of its failed call

Cause: TestRequestBodyError failed once beside other packages' tests (cause 'other' for 'request body'). The goroutine that writes a request aborted the connection before it closed writeDone. The reader, which the abort wakes, could then find the write not ended and didn't look at the body's error.

Change: writeDone is closed before the abort. The connection is not used again in either order, as its request was not sent whole.

Conclusion: a fault of the product that the test named rightly; the test is unchanged.

--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -188,9 +188,11 @@
 }
 
 func (x *exchange) writeInBackground() {
-	defer close(x.writeDone)
 	x.write()
-	if x.writeErr != nil && x.body.err != nil {
+	bodyFailed := x.writeErr != nil && x.body.err != nil
+	// The reader of the response looks at the body's error when abort wakes it, which needs the end of the write.
+	close(x.writeDone)
+	if bodyFailed {
 		// The request can't be completed, so the wait for its response must end.
 		x.c.abort()
 	}
