Report the end of an attempt to an upstream in one place

Five places told the leader of an attempt's end and counted it, two recorded a failed response that is not passed on, and two counted an attempt that had run. exchange.finish, recordFailedResponse and countRun serve them. Log lines, counters and the order in which they are made stay as they were.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"boragehinge.example/boragehinge/internal/coordinator"
@@ -119,11 +118,9 @@
 		x.noteFailure(ctx, failed)
 		return later
 	}
-	failed.placed.Finish(placement.Failure, time.Since(failed.started), failed.load)
-	x.s.o.Metrics.attempts.WithLabelValues(placement.Failure.String()).Inc()
-	x.record("attempt", failed.placed, placement.Failure.String(), strconv.Itoa(failed.resp.StatusCode), failed.started)
-	x.attempts++
-	x.exclude = append(x.exclude, failed.placed.Upstream)
+	x.finish(failed, placement.Failure)
+	x.recordFailedResponse(failed)
+	x.countRun(failed.placed)
 	return later
 }
 
@@ -134,7 +131,6 @@
 	if a.err == nil && !a.failedThere() {
 		outcome = placement.Success
 	}
-	a.placed.Finish(outcome, time.Since(a.started), a.load)
-	x.s.o.Metrics.attempts.WithLabelValues(outcome.String()).Inc()
+	x.finish(a, outcome)
 	x.record("attempt", a.placed, outcome.String(), "", a.started)
 }
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -202,11 +202,16 @@
 
 var errBodyGone = errors.New("the body was sent already")
 
+// finish reports the end of an attempt to the leader and counts it.
+func (x *exchange) finish(a *attempt, outcome placement.Outcome) {
+	a.placed.Finish(outcome, time.Since(a.started), a.load)
+	x.s.o.Metrics.attempts.WithLabelValues(outcome.String()).Inc()
+}
+
 // noteFailure records an attempt without a usable response.
 func (x *exchange) noteFailure(ctx context.Context, a *attempt) {
 	a.outcome, a.notRun = x.classify(ctx, a.err)
-	a.placed.Finish(a.outcome, time.Since(a.started), a.load)
-	x.s.o.Metrics.attempts.WithLabelValues(a.outcome.String()).Inc()
+	x.finish(a, a.outcome)
 	x.record("attempt", a.placed, a.outcome.String(), a.err.Error()+loadText(a.load), a.started)
 	x.exclude = append(x.exclude, a.placed.Upstream)
 	if a.notRun {
@@ -279,15 +284,14 @@
 
 // respond returns the upstream's response to the caller, or tries again when it is a failure that may pass.
 func (x *exchange) respond(ctx context.Context, a *attempt) (again bool) {
-	p, outcome := a.placed, placement.Success
+	outcome := placement.Success
 	if a.failedThere() {
 		outcome = placement.Failure
 	}
 	if a.whole {
-		p.Finish(outcome, time.Since(a.started), a.load)
-		x.s.o.Metrics.attempts.WithLabelValues(outcome.String()).Inc()
-		if outcome == placement.Failure && x.repeatFailure(ctx, p) {
-			x.record("attempt", p, "failure", strconv.Itoa(a.resp.StatusCode), a.started)
+		x.finish(a, outcome)
+		if outcome == placement.Failure && x.repeatFailure(ctx, a.placed) {
+			x.recordFailedResponse(a)
 			return true
 		}
 		_ = x.deliver(a, nil) // recorded, and the caller has left
@@ -299,8 +303,7 @@
 			outcome = placement.Cancelled
 		}
 	}
-	p.Finish(outcome, time.Since(a.started), a.load)
-	x.s.o.Metrics.attempts.WithLabelValues(outcome.String()).Inc()
+	x.finish(a, outcome)
 	return false
 }
 
@@ -317,10 +320,20 @@
 
 var errNoStamp = errors.New("a success without the upstream's signature")
 
-// repeatFailure reports whether a failure of an upstream is worth a second attempt.
-func (x *exchange) repeatFailure(ctx context.Context, p *coordinator.Placed) bool {
+// recordFailedResponse logs an attempt whose response was a failure and is not passed on.
+func (x *exchange) recordFailedResponse(a *attempt) {
+	x.record("attempt", a.placed, placement.Failure.String(), strconv.Itoa(a.resp.StatusCode), a.started)
+}
+
+// countRun counts an attempt that the upstream ran, and keeps further attempts off that upstream.
+func (x *exchange) countRun(p *coordinator.Placed) {
 	x.attempts++
 	x.exclude = append(x.exclude, p.Upstream)
+}
+
+// repeatFailure reports whether a failure of an upstream is worth a second attempt.
+func (x *exchange) repeatFailure(ctx context.Context, p *coordinator.Placed) bool {
+	x.countRun(p)
 	if !x.mayRepeat(ctx, false) || time.Now().After(x.objective) {
 		return false
 	}
