--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -3,8 +3,6 @@
 // A Feed reads the newest record of each key once and then the records that follow, with long polls. When records that it
 // still needs have left the log, it reads the newest ones again. It tells with each batch whether the store was unavailable
 // shortly before, because records lapse during an outage although their writers live.
-//
-// Fallback reads through other entries while the store turns this one away.
 package feed
 
 import (
@@ -52,7 +50,7 @@
 
 	lastTrouble atomic.Int64 // last failed read of heartbeats, in nanoseconds on the clock of time.Since(start)
 	start       time.Time
-	healthy     atomic.Bool
+	healthy     atomic.Bool // the last read of the upstreams' records succeeded
 
 	mu    sync.Mutex
 	ctx   context.Context
@@ -64,9 +62,6 @@
 // answers.
 var errEpoch = errors.New("the store's state has changed")
 
-// Healthy reports whether the last read of the upstreams' records succeeded.
-func (f *Feed) Healthy() bool { return f.healthy.Load() }
-
 // Run follows the sources until ctx ends.
 func (f *Feed) Run(ctx context.Context) {
 	f.start = time.Now()
--- a/internal/placement/hedge.go
+++ b/internal/placement/hedge.go
@@ -42,7 +42,7 @@
 	if !c.up.reachable {
 		return true
 	}
-	expected := time.Duration(float64(p.serviceTime(c)) * c.pace)
+	expected := time.Duration(expectedLatency(c, p.serviceTime(c)))
 	if c.started.Add(expected).After(c.ask.Objective) {
 		return true
 	}
--- a/internal/placement/move.go
+++ b/internal/placement/move.go
@@ -92,8 +92,7 @@
 // Move returns the version and phase of the current move.
 func (p *Pool) Move() (version string, phase MovePhase) { return p.move.version, p.move.phase }
 
-// AdvanceMove decides on the next phase. ready says that the caller may report an end now; the result tells the phase and
-// why it was entered, or that nothing changed.
+// AdvanceMove decides on the next phase. The result tells the phase and why it was entered, or that nothing changed.
 func (p *Pool) AdvanceMove(now time.Time) (phase MovePhase, why string, changed bool) {
 	m := &p.move
 	p.load += loadWeight * (float64(len(p.calls)) - p.load)
@@ -237,7 +236,7 @@
 	}
 }
 
-// expectedLatency is the latency of a call on a version that is as fast as the others.
+// expectedLatency is the latency of a call on an upstream that is as fast as its pace says, in nanoseconds.
 func expectedLatency(c *call, base time.Duration) float64 {
 	return float64(base) * max(1, c.pace)
 }
