Keep the platform's record formats out of the coordinator's tests

The tests held the platform's JSON, keys and paths. The stand-in now writes such records (PutConfig, PutUpstream, OrderMove, ReportMove) and names its calls, so that platform/ is the only place that knows them. Assertions are unchanged.

--- a/internal/coordinator/cluster_test.go
+++ b/internal/coordinator/cluster_test.go
@@ -25,13 +25,6 @@
 // configApply is the users' bound for a configuration to be in force.
 const configApply = 2 * time.Second
 
-const configJSON = `{"version":"%08x","routes":{"r":{"host":"h.example","pathPrefix":"/a/","kind":"safe","timeout":"1s",
-	"slo":"250ms","priority":1,"service":"s","maxAttempts":2}},"services":{"s":{"healthPath":"/health","maxConns":100,
-	"coldStart":"3s","coldPerS":20}},"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000000,"headerTimeout":"3s","idleTimeout":"15s"}}`
-
-const upstreamJSON = `{"address":"127.0.0.1:%d","born":%d,"info":{"service":"s","version":"%s","zone":"z1","slots":6},
-	"status":{"state":"%s","seq":%d,"coldLeft":"0ms"}}`
-
 // gate is one entry's way to the store, with faults of its own.
 type gate struct {
 	Store
@@ -133,7 +126,7 @@
 	c := &cluster{t: t, store: standin.NewStore()}
 	server := httptest.NewServer(c.store.Handler())
 	c.address = strings.TrimPrefix(server.URL, "http://")
-	c.config(1)
+	c.store.PutConfig(1)
 	var ctx context.Context
 	ctx, c.beat = context.WithCancel(context.Background())
 	go c.heartbeats(ctx)
@@ -148,15 +141,11 @@
 	return c
 }
 
-func (c *cluster) config(version int) {
-	c.store.Put(standin.Operators, "config", fmt.Appendf(nil, configJSON, version))
-}
-
 // heartbeats are the upstreams' records, which arrive all the time.
 func (c *cluster) heartbeats(ctx context.Context) {
 	for seq := 1; ctx.Err() == nil; seq++ {
 		for i := range 4 {
-			c.store.Put(standin.Upstreams, fmt.Sprintf("u%d", i), fmt.Appendf(nil, upstreamJSON, 9000+i, 1, "v1", "ready", seq))
+			c.store.PutUpstream(fmt.Sprintf("u%d", i), "v1", 9000+i, seq)
 		}
 		pause.For(ctx, 100*time.Millisecond)
 	}
@@ -261,11 +250,11 @@
 	leader := c.leader()
 	leader.gate.setSilent(true)
 	time.Sleep(200 * time.Millisecond)
-	c.config(2)
+	c.store.PutConfig(2)
 	c.eventually("version 2 in force", configApply, func() bool { return c.inForce(2, nil) })
 
 	leader.gate.setSilent(false)
-	c.config(3)
+	c.store.PutConfig(3)
 	c.eventually("version 3 in force", configApply, func() bool { return c.inForce(3, nil) })
 }
 
@@ -280,7 +269,7 @@
 	for _, m := range c.members {
 		m.gate.setSilent(false)
 	}
-	c.config(2)
+	c.store.PutConfig(2)
 	c.eventually("version 2 in force", configApply, func() bool { return c.inForce(2, nil) })
 }
 
@@ -300,7 +289,7 @@
 		}
 	}
 	time.Sleep(2500 * time.Millisecond)
-	c.store.Put(standin.Upstreams, "leaves", fmt.Appendf(nil, upstreamJSON, 9050, 1, "v1", "ready", 1))
+	c.store.PutUpstream("leaves", "v1", 9050, 1)
 	known := func() (open bool) {
 		leader.node.leader.coordinator.WithPool("s", func(p *placement.Pool) {
 			for _, u := range p.Upstreams(time.Now()) {
@@ -310,7 +299,7 @@
 		return open
 	}
 	c.eventually("the upstream is known", 3*time.Second, known)
-	c.store.Put(standin.Upstreams, "leaves", nil)
+	c.store.DropUpstream("leaves")
 	c.eventually("the upstream gets nothing more", drain, func() bool { return !known() })
 }
 
@@ -378,9 +367,9 @@
 // Guards against a move that a new leader starts again although it has ended: the bad version would get traffic once more.
 func TestNewLeaderKeepsTheEndOfAMove(t *testing.T) {
 	c := startCluster(t, 3)
-	c.store.Put(standin.Operators, "rollout/s", []byte(`{"service":"s","toVersion":"v2","duration":"1s"}`))
-	c.store.Put(standin.Upstreams, "n1", fmt.Appendf(nil, upstreamJSON, 9100, 1, "v2", "ready", 1))
-	state := func() string { return string(c.store.Value(standin.Statuses, "rollout/s")) }
+	c.store.OrderMove("s", "v2", time.Second)
+	c.store.PutUpstream("n1", "v2", 9100, 1)
+	state := func() string { return c.store.ReportedMove("s") }
 	c.eventually("completed", 6*time.Second, func() bool { return strings.Contains(state(), `"completed"`) })
 	leader := c.leader()
 	leader.kill()
--- a/internal/coordinator/first_test.go
+++ b/internal/coordinator/first_test.go
@@ -22,22 +22,18 @@
 	store := standin.NewStore()
 	server := httptest.NewServer(store.Handler())
 	t.Cleanup(server.Close)
-	store.Put(standin.Operators, "config", fmt.Appendf(nil, configJSON, 7))
+	store.PutConfig(7)
 	return NewNode(Options{
 		Self: gateway.Entry{Name: "e", DataCentre: "z1", Callers: "c", Peer: "p"}, Store: platform.NewStore(strings.TrimPrefix(server.URL, "http://")),
 		Limits: Limits{RetryRatio: 0.2, RetryBurst: 60, RetryWindow: 10 * time.Second}, Log: zerolog.Nop(),
 	}), store
 }
 
-func putUpstream(store *standin.Store, id, version string) {
-	store.Put(standin.Upstreams, id, fmt.Appendf(nil, upstreamJSON, 9000, 1, version, "ready", 1))
-}
-
 // Guards against refusals for as long as entries that all started at once look for a leader (the last fault of each standard
 // day: 28 to 65 refusals per 0.1 s until the leader's first records).
 func TestRequestsAreServedBeforeThereIsALeader(t *testing.T) {
 	n, store := startedNode(t)
-	putUpstream(store, "u1", "v1")
+	store.PutUpstream("u1", "v1", 9000, 1)
 	require.Nil(t, n.Config())
 	c := n.AwaitConfig(t.Context(), 10*time.Second)
 	require.NotNil(t, c)
@@ -51,20 +47,20 @@
 
 // Guards against requests on a version whose move goes on or was rolled back, and on the old version after a completed move.
 func TestAnEntryWithoutLeaderKeepsToTheReportedMoves(t *testing.T) {
-	tests := []struct{ status, version string }{
+	tests := []struct{ state, version string }{
 		{"", "v1"},
-		{`{"service":"s","toVersion":"v2","state":"running"}`, "v1"},
-		{`{"service":"s","toVersion":"v2","state":"rolled_back"}`, "v1"},
-		{`{"service":"s","toVersion":"v2","state":"completed"}`, "v2"},
+		{standin.MoveRunning, "v1"},
+		{standin.MoveRolledBack, "v1"},
+		{standin.MoveCompleted, "v2"},
 	}
 	for _, test := range tests {
-		t.Run(test.status, func(t *testing.T) {
+		t.Run(test.state, func(t *testing.T) {
 			n, store := startedNode(t)
-			putUpstream(store, "u-v1", "v1")
-			putUpstream(store, "u-v2", "v2")
-			store.Put(standin.Operators, "rollout/s", []byte(`{"service":"s","toVersion":"v2","duration":"10s"}`))
-			if test.status != "" {
-				store.Put(standin.Statuses, "rollout/s", []byte(test.status))
+			store.PutUpstream("u-v1", "v1", 9000, 1)
+			store.PutUpstream("u-v2", "v2", 9000, 1)
+			store.OrderMove("s", "v2", 10*time.Second)
+			if test.state != "" {
+				store.ReportMove("s", "v2", test.state)
 			}
 			require.NotNil(t, n.AwaitConfig(t.Context(), 10*time.Second))
 			for range 8 {
@@ -95,24 +91,24 @@
 func TestAnEntryWithoutUpstreamsReadsTheStoreNowAndThen(t *testing.T) {
 	n, store := startedNode(t)
 	require.NotNil(t, n.AwaitConfig(t.Context(), 10*time.Second))
-	before := store.Calls("/api/log-newest")
+	before := store.Calls(standin.CallNewest)
 	began := time.Now()
 	for range 200 {
 		_, err := place(t, n)
 		require.Error(t, err)
 	}
 	most := 2 + int(time.Since(began)/firstReadPause)
-	assert.LessOrEqual(t, store.Calls("/api/log-newest")-before, most)
+	assert.LessOrEqual(t, store.Calls(standin.CallNewest)-before, most)
 }
 
 // Guards against entries that read thousands of records before they place their first request.
 func TestAnEntryWithoutLeaderReadsOnePageOfUpstreams(t *testing.T) {
 	n, store := startedNode(t)
 	for i := range 40 {
-		putUpstream(store, fmt.Sprintf("u%02d", i), "v1")
+		store.PutUpstream(fmt.Sprintf("u%02d", i), "v1", 9000, 1)
 	}
 	require.NotNil(t, n.AwaitConfig(t.Context(), 10*time.Second))
-	assert.Equal(t, 3, store.Calls("/api/log-newest"), "one call for each of orders, statuses and upstreams")
+	assert.Equal(t, 3, store.Calls(standin.CallNewest), "one call for each of orders, statuses and upstreams")
 	p, err := place(t, n)
 	require.NoError(t, err)
 	p.Finish(placement.Success, time.Millisecond, nil)
@@ -122,10 +118,10 @@
 // 172883276483: requests 2.7 s after upstreams had left, while slow hosts looked for a leader).
 func TestAnEntryWithoutLeaderNoticesThatUpstreamsLeave(t *testing.T) {
 	n, store := startedNode(t)
-	putUpstream(store, "leaves", "v1")
-	putUpstream(store, "stays", "v1")
+	store.PutUpstream("leaves", "v1", 9000, 1)
+	store.PutUpstream("stays", "v1", 9000, 1)
 	require.NotNil(t, n.AwaitConfig(t.Context(), 10*time.Second))
-	store.Put(standin.Upstreams, "leaves", nil)
+	store.DropUpstream("leaves")
 	n.mu.Lock()
 	n.freshAt = time.Now().Add(-2 * upstreamsFresh)
 	n.mu.Unlock()
--- a/internal/coordinator/search_test.go
+++ b/internal/coordinator/search_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"boragehinge.example/boragehinge/internal/gateway"
+	"boragehinge.example/boragehinge/platform/standin"
 )
 
 // Guards against entries that each lead at the first start, because none is known yet: 90 of 92 read all records and wrote
@@ -42,9 +43,9 @@
 		defer n.mu.Unlock()
 		return len(n.world.Entries) == entries
 	})
-	assert.LessOrEqual(t, c.store.Calls("/api/log-append"), 3)
+	assert.LessOrEqual(t, c.store.Calls(standin.CallAppend), 3)
 	const sources = 4
-	assert.LessOrEqual(t, c.store.Calls("/api/log-newest"), seedCount*sources+entries/2, "seeds may lead beside each other for a moment")
+	assert.LessOrEqual(t, c.store.Calls(standin.CallNewest), seedCount*sources+entries/2, "seeds may lead beside each other for a moment")
 }
 
 // Guards against entries that lead because the few that they asked have lost power, though others precede them.
