Write decisions past the buffer of the other log lines

Cause: the decision log collects up to 256 KB between two flushes and wrote them in one piece into the other lines' buffer of 128 KB. A larger piece was dropped whole and counted as one line, and smaller ones were copied twice.

Change: the decision log writes to the standard output itself, from the goroutine that already waits for its reader.

Conclusion: each log has one bounded buffer. The volume bounds and the order of the two logs' pieces are unchanged.

--- a/cmd/boragehinge-entry/reload_test.go
+++ b/cmd/boragehinge-entry/reload_test.go
@@ -45,7 +45,7 @@
 	s, err := platform.LoadSettings(path)
 	require.NoError(t, err)
 	f := &flags{settings: path, logLevel: "error", probeInterval: time.Millisecond}
-	e := newEntry(s, f, zerolog.Nop(), telemetry.NewOutput(io.Discard))
+	e := newEntry(s, f, zerolog.Nop(), telemetry.NewOutput(io.Discard), io.Discard)
 	assert.Equal(t, time.Second, e.addressTTL())
 
 	writeSettings(t, path, "z1", "500ms", 30)
--- a/cmd/boragehinge-entry/run.go
+++ b/cmd/boragehinge-entry/run.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -74,7 +75,7 @@
 	}
 	log.Info().Str("event", "start").Str("node", settings.Node).Str("data_centre", settings.Zone).Str("callers", settings.Listen.Callers).
 		Float64("cpu_share", settings.Limits.CPUShare).Bool("bootstrap", settings.Bootstrap).Msg("starts")
-	e := newEntry(settings, f, log, out)
+	e := newEntry(settings, f, log, out, os.Stdout)
 	err = e.serve(ctx, f)
 	if err == nil {
 		log.Info().Str("event", "stop").Msg("stopped")
@@ -82,10 +83,11 @@
 	return errors.Join(err, e.flushLogsAtEnd())
 }
 
-func newEntry(s *platform.Settings, f *flags, log zerolog.Logger, out *telemetry.Output) *entry {
+// newEntry returns an entry whose decisions are written to decisions, since their log has a bounded buffer of its own.
+func newEntry(s *platform.Settings, f *flags, log zerolog.Logger, out *telemetry.Output, decisions io.Writer) *entry {
 	names := platform.Names()
 	e := &entry{
-		log: log, decisions: telemetry.NewDecisionLog(out, f.decisionLines), out: out, registry: prometheus.NewRegistry(),
+		log: log, decisions: telemetry.NewDecisionLog(decisions, f.decisionLines), out: out, registry: prometheus.NewRegistry(),
 	}
 	e.settings.Store(s)
 	prober := &probe.Prober{
