--- a/internal/coordinator/relay.go
+++ b/internal/coordinator/relay.go
@@ -180,34 +180,45 @@
 	if len(peers) == 0 || ctx.Err() != nil {
 		return gateway.Batch{}, err
 	}
+	first, failures := callFirst(ctx, peers, call)
+	if first != nil {
+		r.divert(first.via)
+		return first.batch, first.err
+	}
+	if call.Source == gateway.Upstreams {
+		r.mu.Lock()
+		r.askAt = time.Now().Add(askPause)
+		r.mu.Unlock()
+	}
+	return gateway.Batch{}, errors.Join(err, failures)
+}
+
+// relayed is the store's answer by way of an entry.
+type relayed struct {
+	via   string
+	batch gateway.Batch
+	err   error
+}
+
+// callFirst calls through all peers at once and returns the first answer of the store. Without one the error holds all failures.
+func callFirst(ctx context.Context, peers []string, call relayCall) (first *relayed, failures error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	type answer struct {
-		via   string
-		batch gateway.Batch
-		err   error
-	}
-	answers := make(chan answer, len(peers))
+	answers := make(chan *relayed, len(peers))
 	for _, p := range peers {
 		go func() {
 			batch, err := callRelay(ctx, p, call)
-			answers <- answer{p, batch, err}
+			answers <- &relayed{p, batch, err}
 		}()
 	}
 	for range peers {
 		a := <-answers
 		if !unavailable(a.err) {
-			r.divert(a.via)
-			return a.batch, a.err
+			return a, nil
 		}
-		err = errors.Join(err, a.err)
-	}
-	if call.Source == gateway.Upstreams {
-		r.mu.Lock()
-		r.askAt = time.Now().Add(askPause)
-		r.mu.Unlock()
+		failures = errors.Join(failures, a.err)
 	}
-	return gateway.Batch{}, err
+	return nil, failures
 }
 
 func (r *relayStore) mayAsk() bool {
