Let a leader that is short of processor give way

Cause: a leader on a slowed host is still heard, so its followers keep it, and a second leader gives way to it because it has fewer followers. Ruled out: the loss of its links; it had 76 to 91 followers throughout.

Change: the leader sums up the delays of its ticks over about a second. From 0.2 s on it gives way if a comparable host follows, and lets others lead for 10 s. An entry that was short of processor says so when others ask for the leader. The first two seconds don't count, because all entries join then.

--- a/internal/coordinator/cluster_test.go
+++ b/internal/coordinator/cluster_test.go
@@ -221,6 +221,18 @@
 	return leaders == 1
 }
 
+// successorsInformed reports whether the leader has sent the records of upstreams to those that would lead next.
+func (c *cluster) successorsInformed() bool {
+	l := c.leader().node.leader
+	informed := 0
+	for _, f := range l.currentFollowers() {
+		if l.isInformed(f) {
+			informed++
+		}
+	}
+	return informed >= successors
+}
+
 func (c *cluster) eventually(what string, within time.Duration, holds func() bool) {
 	c.t.Helper()
 	require.Eventually(c.t, holds, within, 10*time.Millisecond, what)
@@ -386,15 +398,7 @@
 // (yeux-sfax trouble-3, seed 782533774806: the leader is stopped during an outage, and 747 requests of four seconds are refused).
 func TestTheNextLeaderKnowsTheUpstreamsWithoutTheStore(t *testing.T) {
 	c := startCluster(t, 8)
-	c.eventually("the next leaders are informed", 5*time.Second, func() bool {
-		informed := 0
-		for _, f := range c.leader().node.leader.currentFollowers() {
-			if c.leader().node.leader.isInformed(f) {
-				informed++
-			}
-		}
-		return informed >= successors
-	})
+	c.eventually("the next leaders are informed", 5*time.Second, c.successorsInformed)
 	for _, m := range c.members {
 		m.gate.setSilent(true)
 	}
--- a/internal/coordinator/elect.go
+++ b/internal/coordinator/elect.go
@@ -40,12 +40,13 @@
 	Followers int           `json:"followers"`
 	Leaving   bool          `json:"leaving"`
 	Informed  bool          `json:"informed"` // knows upstreams, also without the store
+	Slow      bool          `json:"slow"`     // was short of processor of late
 }
 
 func (n *Node) answerLeader(w http.ResponseWriter, r *http.Request) {
 	n.checkLeader(r.URL.Query().Get(lostParameter))
 	n.mu.Lock()
-	a := LeaderAnswer{Self: n.o.Self, Leads: n.leader != nil, Leaving: n.leaving, Informed: n.informed()}
+	a := LeaderAnswer{Self: n.o.Self, Leads: n.leader != nil, Leaving: n.leaving, Informed: n.informed(), Slow: n.slow()}
 	if _, follows := n.session.(*linkSession); follows && n.roster != nil {
 		a.Leader = n.roster.Leader
 	}
@@ -128,11 +129,12 @@
 type candidacy struct {
 	entry    gateway.Entry
 	informed bool   // knows upstreams
+	slow     bool   // was short of processor of late
 	lost     string // leader that it has lost
 }
 
-// yieldsTo reports whether an entry that answered should rather lead: one that knows upstreams, because the store may be out, and
-// then the first in rank.
+// yieldsTo reports whether an entry that answered should rather lead: one that knows upstreams, because the store may be out, then
+// one that was not short of processor, and then the first in rank.
 func (c *candidacy) yieldsTo(a *LeaderAnswer) bool {
 	if a.Leaving || a.Self.Peer == c.entry.Peer {
 		return false
@@ -140,6 +142,9 @@
 	if a.Informed != c.informed {
 		return a.Informed
 	}
+	if a.Slow != c.slow {
+		return c.slow
+	}
 	return precedes(a.Self, c.entry) < 0
 }
 
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -70,7 +70,11 @@
 	n.log.Info().Str("event", "leadership").Str("entry", n.o.Self.Name).Msg("leads")
 
 	go l.feed.Run(ctx)
-	go pause.Every(ctx, tickInterval, l.coordinator.Tick)
+	var meter latenessMeter
+	go pause.Every(ctx, tickInterval, func(time.Time) {
+		now := time.Now() // the ticker's time is earlier when this process got no processor
+		l.tick(now, meter.observe(now))
+	})
 	go l.watchRivals(ctx)
 	l.tickSlowly(ctx)
 
--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -60,18 +60,19 @@
 	alone   *Coordinator // used without a leader
 	ask     askFunc
 
-	mu       sync.Mutex
-	world    *gateway.World
-	roster   *Roster
-	rosterAt time.Time
-	leader   *leadership // set while this entry leads
-	session  session
-	leaving  bool
-	freshAt  time.Time // when the upstreams were known to be up to date
-	lost     string    // leader that was lost at lostAt
-	lostAt   time.Time
-	checking bool // whether the leader is lost, as another entry says
-	running  map[*handle]struct{}
+	mu        sync.Mutex
+	world     *gateway.World
+	roster    *Roster
+	rosterAt  time.Time
+	leader    *leadership // set while this entry leads
+	session   session
+	leaving   bool
+	freshAt   time.Time // when the upstreams were known to be up to date
+	lost      string    // leader that was lost at lostAt
+	lostAt    time.Time
+	slowUntil time.Time // until then others should lead, because this entry was short of processor
+	checking  bool      // whether the leader is lost, as another entry says
+	running   map[*handle]struct{}
 
 	config atomic.Pointer[gateway.Config]
 	first  firstConfig
--- a/internal/coordinator/search.go
+++ b/internal/coordinator/search.go
@@ -85,7 +85,7 @@
 	lost := n.lostLeader()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return candidacy{entry: n.o.Self, informed: n.informed(), lost: lost}
+	return candidacy{entry: n.o.Self, informed: n.informed(), slow: n.slow(), lost: lost}
 }
 
 // informed reports whether this entry knows upstreams. The caller holds n.mu.
--- /dev/null
+++ b/internal/coordinator/slow.go
@@ -0,0 +1,71 @@
+package coordinator
+
+import "time"
+
+const (
+	// toleratedLateness is the delay of a tick that a healthy host shows.
+	toleratedLateness = tickInterval
+	// latenessSpan is the time over which the delays of ticks are summed up.
+	latenessSpan = time.Second
+	// starvedLateness is the sum of delays from which on a leader is short of processor. A leader on a healthy host stays below
+	// 0.05 s, also in a burst; one whose host was slowed down five times reached 0.2 s within 1 s.
+	starvedLateness = 200 * time.Millisecond
+	// slowMemory is how long an entry that was short of processor lets others lead.
+	slowMemory = 10 * time.Second
+)
+
+// latenessMeter sums up by how much ticks come late. It belongs to the goroutine of the ticks.
+type latenessMeter struct {
+	last time.Time
+	sum  time.Duration
+}
+
+// observe takes the time of a tick and returns the delays of the last latenessSpan, those of longer ago counting less.
+func (m *latenessMeter) observe(now time.Time) time.Duration {
+	if m.last.IsZero() {
+		m.last = now
+		return 0
+	}
+	gap := now.Sub(m.last)
+	m.last = now
+	kept := max(0, 1-gap.Seconds()/latenessSpan.Seconds())
+	m.sum = time.Duration(kept*float64(m.sum)) + max(0, gap-tickInterval-toleratedLateness)
+	return m.sum
+}
+
+// tick lets time pass for the pools, and ends the leadership when this entry is short of processor: its answers would be late for
+// all entries, while those find no other leader as long as they hear of it.
+func (l *leadership) tick(now time.Time, late time.Duration) {
+	l.coordinator.Tick(now)
+	if late < starvedLateness || now.Sub(l.since) < newLeaderTime || !l.canHandOver() {
+		return
+	}
+	l.log.Warn().Str("event", "leadership").Dur("late", late).Int("followers", len(l.currentFollowers())).Msg("short of processor, gives way")
+	l.node.noteSlow(now)
+	l.stop()
+}
+
+// canHandOver reports whether this leadership goes on, and a follower can lead that wouldn't give way to this entry's host.
+func (l *leadership) canHandOver() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.stopping {
+		return false
+	}
+	for f := range l.followers {
+		if !f.hello.Leaving && f.entry.CPUShare*largerHost > l.node.o.Self.CPUShare {
+			return true
+		}
+	}
+	return false
+}
+
+// noteSlow remembers that this entry was short of processor.
+func (n *Node) noteSlow(now time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.slowUntil = now.Add(slowMemory)
+}
+
+// slow reports whether this entry was short of processor of late. The caller holds n.mu.
+func (n *Node) slow() bool { return time.Now().Before(n.slowUntil) }
