Take a read of heartbeats that fails alone for no outage

The failure counted as an outage of the store, so upstreams that had left meanwhile were kept for 2.5 s as ones whose records may have lapsed: requests 2.5 to 2.7 s after they had left.

Change: a failed read of heartbeats is an outage only if no other read was answered since it began.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -33,9 +33,6 @@
 // restrictedShare is the part of the budget for further attempts that an entry uses while others may use it too.
 const restrictedShare = 0.1
 
-// lapsedGrace is how long an upstream whose record may have lapsed in an outage is still used.
-const lapsedGrace = 2500 * time.Millisecond
-
 type submitted struct {
 	client  Client
 	ask     uint64 // the client's number
@@ -97,7 +94,7 @@
 		addUpstream(specs, w, u, u.Draining)
 	}
 	for _, t := range w.Tombstones {
-		addUpstream(specs, w, t.Upstream, t.Upstream.Draining || !t.Disturbed || now.Sub(t.At) > lapsedGrace)
+		addUpstream(specs, w, t.Upstream, t.Upstream.Draining || !now.Before(t.LapseEnd))
 	}
 	c.mu.Lock()
 	for name, spec := range specs {
--- a/internal/coordinator/first.go
+++ b/internal/coordinator/first.go
@@ -136,7 +136,7 @@
 	}
 	n.world.ForgetUpstreams() // the records may be some of all, and then tell nothing of the others
 	for _, b := range batches {
-		n.world.Apply(now, b, false)
+		n.world.Apply(now, b, time.Time{})
 	}
 	n.freshAt = now
 	if n.world.Config == nil {
--- a/internal/coordinator/follow.go
+++ b/internal/coordinator/follow.go
@@ -102,7 +102,7 @@
 	}
 	for _, b := range frame.Batches {
 		f.informed = f.informed || b.Source == gateway.Upstreams
-		n.apply(b, false)
+		n.apply(b, time.Time{})
 	}
 	if frame.Roster != nil {
 		n.setRoster(frame.Roster)
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -118,8 +118,8 @@
 }
 
 // deliverBatch folds a batch of the store and passes on what the followers need of it.
-func (l *leadership) deliverBatch(b gateway.Batch, disturbed bool) {
-	changed := l.node.apply(b, disturbed)
+func (l *leadership) deliverBatch(b gateway.Batch, lapseEnd time.Time) {
+	changed := l.node.apply(b, lapseEnd)
 	if len(changed.Updates) == 0 && !changed.Snapshot {
 		return
 	}
@@ -229,7 +229,7 @@
 	defer n.mu.Unlock()
 	changed := false
 	for id, t := range n.world.Tombstones {
-		if now.Sub(t.At) > lapsedGrace {
+		if !now.Before(t.LapseEnd) {
 			delete(n.world.Tombstones, id)
 			changed = true
 		}
--- a/internal/coordinator/moves.go
+++ b/internal/coordinator/moves.go
@@ -161,7 +161,7 @@
 		m.l.log.Warn().Str("dependency", "store").Err(err).Msg("statuses not read")
 		return
 	}
-	m.l.deliverBatch(batch, false)
+	m.l.deliverBatch(batch, time.Time{})
 }
 
 func (m *mover) notices() []MoveNotice {
--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -167,18 +167,18 @@
 }
 
 // apply folds a batch into the world. It returns what other entries need to know of it.
-func (n *Node) apply(b gateway.Batch, disturbed bool) gateway.Batch {
+func (n *Node) apply(b gateway.Batch, lapseEnd time.Time) gateway.Batch {
 	now := time.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	changed := n.world.Apply(now, b, disturbed)
+	changed := n.world.Apply(now, b, lapseEnd)
 	if b.Source == gateway.Upstreams {
 		n.freshAt = now
 	}
 	n.enforceConfig(b.End - 1)
 	for _, u := range changed.Updates {
 		if !b.Snapshot {
-			n.logUpdate(b.Source, u, disturbed)
+			n.logUpdate(b.Source, u, lapseEnd.Sub(now))
 		}
 	}
 	n.configurePools(now)
@@ -198,13 +198,13 @@
 		Msg("configuration in force")
 }
 
-func (n *Node) logUpdate(source gateway.Source, u gateway.Update, disturbed bool) {
+func (n *Node) logUpdate(source gateway.Source, u gateway.Update, lapseLeft time.Duration) {
 	e := n.log.Info().Str("event", "record").Str("source", source.String()).Str("key", u.Key).Int64("offset", u.Offset).Bool("removed", u.Removed)
 	if u.Up != nil {
 		e = e.Str("service", u.Up.Service).Str("version", u.Up.Version).Bool("draining", u.Up.Draining).Dur("cold", u.Up.ColdLeft)
 	}
 	if u.Removed {
-		e = e.Bool("disturbed", disturbed)
+		e = e.Dur("lapse_left", max(0, lapseLeft))
 	}
 	e.Msg("belief changed")
 }
--- a/internal/coordinator/search.go
+++ b/internal/coordinator/search.go
@@ -143,7 +143,7 @@
 		n.log.Warn().Str("dependency", "store").Err(err).Msg("entries not read")
 		return
 	}
-	n.apply(batch, false)
+	n.apply(batch, time.Time{})
 }
 
 // ranked returns the other known entries, the first in rank first.
--- a/internal/coordinator/search_test.go
+++ b/internal/coordinator/search_test.go
@@ -61,7 +61,7 @@
 		for i, e := range all {
 			batch.Updates = append(batch.Updates, gateway.Update{Key: e.Name, Offset: int64(i), Entry: &e})
 		}
-		n.apply(batch, false)
+		n.apply(batch, time.Time{})
 		rounds := n.rounds()
 		asked := map[string]bool{}
 		for _, round := range rounds {
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -38,19 +38,20 @@
 	retryPause = 250 * time.Millisecond
 	// maxOutageWait bounds the wait for the heartbeat reads to succeed.
 	maxOutageWait = 2 * time.Second
-	// lapseTime is how long after an outage missing records may still come back.
-	lapseTime = 2500 * time.Millisecond
+	// lapseTime is how long after the end of an outage missing records may still come back. The users' upstreams are back within
+	// about two seconds, and one that leaves right after the outage must get nothing 2.5 s later.
+	lapseTime = 2200 * time.Millisecond
 )
 
-// Feed follows some sources. Deliver is called from one goroutine per source.
+// Feed follows some sources. Deliver is called from one goroutine per source; until lapseEnd records that are missing may have
+// lapsed in an outage, and come back.
 type Feed struct {
 	Store   Store
-	Deliver func(b gateway.Batch, disturbed bool)
+	Deliver func(b gateway.Batch, lapseEnd time.Time)
 	Log     zerolog.Logger
 
-	lastTrouble atomic.Int64 // last failed read of heartbeats, in nanoseconds on the clock of time.Since(start)
-	start       time.Time
-	healthy     atomic.Bool // the last read of the upstreams' records succeeded
+	outage  outage
+	healthy atomic.Bool // the last read of the upstreams' records succeeded
 
 	mu    sync.Mutex
 	ctx   context.Context
@@ -64,8 +65,6 @@
 
 // Run follows the sources until ctx ends.
 func (f *Feed) Run(ctx context.Context) {
-	f.start = time.Now()
-	f.lastTrouble.Store(-int64(time.Hour))
 	f.mu.Lock()
 	f.ctx = ctx
 	f.mu.Unlock()
@@ -86,6 +85,7 @@
 func (f *Feed) follow(ctx context.Context, source gateway.Source) {
 	position := int64(-1)
 	for ctx.Err() == nil {
+		began := time.Now()
 		batch, findings, err := f.read(ctx, source, position)
 		for _, finding := range findings {
 			f.Log.Warn().Str("source", source.String()).Err(finding).Msg("record ignored")
@@ -95,14 +95,14 @@
 		}
 		if err != nil {
 			if !errors.Is(err, errEpoch) {
-				position = f.failed(ctx, source, position, err)
+				position = f.failed(ctx, source, position, began, err)
 			}
 			continue
 		}
 		f.succeeded(source)
 		position = batch.End
 		if batch.Snapshot || len(batch.Updates) > 0 {
-			f.Deliver(batch, f.disturbed())
+			f.Deliver(batch, f.outage.lapseEnd())
 		}
 		wait := orderPause
 		if source == gateway.Upstreams {
@@ -146,8 +146,9 @@
 	f.epoch, f.next = context.WithCancel(f.ctx)
 }
 
-func (f *Feed) failed(ctx context.Context, source gateway.Source, position int64, err error) int64 {
+func (f *Feed) failed(ctx context.Context, source gateway.Source, position int64, began time.Time, err error) int64 {
 	if errors.Is(err, gateway.ErrExpired) {
+		f.outage.answered(time.Now())
 		f.Log.Info().Str("source", source.String()).Int64("offset", position).Msg("records left the log; reading the newest")
 		return -1
 	}
@@ -155,7 +156,7 @@
 		f.waitForStore()
 		return position
 	}
-	f.lastTrouble.Store(int64(time.Since(f.start)))
+	f.outage.failed(began)
 	if f.healthy.Swap(false) {
 		f.Log.Warn().Str("dependency", "store").Err(err).Msg("dependency lost")
 		f.Restart()
@@ -178,12 +179,9 @@
 }
 
 func (f *Feed) succeeded(source gateway.Source) {
+	f.outage.answered(time.Now())
 	if source == gateway.Upstreams && !f.healthy.Swap(true) {
 		f.Log.Info().Str("dependency", "store").Msg("dependency available")
 		f.Restart()
 	}
 }
-
-func (f *Feed) disturbed() bool {
-	return time.Since(f.start)-time.Duration(f.lastTrouble.Load()) < lapseTime
-}
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -79,10 +79,10 @@
 		s := &fakeStore{}
 		var mu sync.Mutex
 		var got []delivery
-		f := &Feed{Store: s, Log: zerolog.Nop(), Deliver: func(b gateway.Batch, disturbed bool) {
+		f := &Feed{Store: s, Log: zerolog.Nop(), Deliver: func(b gateway.Batch, lapseEnd time.Time) {
 			mu.Lock()
 			defer mu.Unlock()
-			got = append(got, delivery{b.Source, b.Snapshot, disturbed, time.Now()})
+			got = append(got, delivery{b.Source, b.Snapshot, time.Now().Before(lapseEnd), time.Now()})
 		}}
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
--- a/internal/gateway/world.go
+++ b/internal/gateway/world.go
@@ -104,12 +104,11 @@
 	Updates  []Update `cbor:"4,keyasint,omitempty"`
 }
 
-// Tombstone is an upstream whose record vanished at At. Disturbed says that the store had been unavailable shortly before,
-// so the record may have lapsed although the upstream lives.
+// Tombstone is an upstream whose record vanished. Until LapseEnd it may come back, because the record may have lapsed in an
+// outage of the store although the upstream lives.
 type Tombstone struct {
-	Upstream  Upstream
-	At        time.Time
-	Disturbed bool
+	Upstream Upstream
+	LapseEnd time.Time
 }
 
 // World is the fold of all updates. It is not safe for concurrent use.
@@ -143,30 +142,30 @@
 }
 
 // Apply folds a batch and returns the updates that changed more than a heartbeat, as a batch to pass on to other entries.
-// disturbed says that the store was unavailable shortly before; see Tombstone.
-func (w *World) Apply(now time.Time, b Batch, disturbed bool) Batch {
+// lapseEnd is the time until which missing records may come back; see Tombstone.
+func (w *World) Apply(now time.Time, b Batch, lapseEnd time.Time) Batch {
 	changed := Batch{Source: b.Source, End: b.End, Snapshot: b.Snapshot}
 	for _, u := range b.Updates {
-		if w.applyOne(now, b.Source, u, disturbed) || b.Snapshot {
+		if w.applyOne(now, b.Source, u, lapseEnd) || b.Snapshot {
 			changed.Updates = append(changed.Updates, u)
 		}
 	}
 	if b.Snapshot {
-		w.dropMissing(now, b, disturbed)
+		w.dropMissing(b, lapseEnd)
 	}
 	w.Known[b.Source] = true
 	w.Ends[b.Source] = max(w.Ends[b.Source], b.End)
 	return changed
 }
 
-func (w *World) applyOne(now time.Time, source Source, u Update, disturbed bool) bool {
+func (w *World) applyOne(now time.Time, source Source, u Update, lapseEnd time.Time) bool {
 	if last, known := w.offsets[source][u.Key]; known && u.Offset <= last {
 		return false
 	}
 	w.offsets[source][u.Key] = u.Offset
 	switch {
 	case u.Removed:
-		return w.remove(now, source, u.Key, disturbed)
+		return w.remove(source, u.Key, lapseEnd)
 	case u.Config != nil:
 		return w.setConfig(u.Config)
 	case u.Up != nil:
@@ -183,7 +182,7 @@
 		w.Entries[u.Key] = *u.Entry
 	case source == Upstreams:
 		// The newest record can't be read: it names no upstream to use.
-		return w.remove(now, source, u.Key, false)
+		return w.remove(source, u.Key, time.Time{})
 	default:
 		return false
 	}
@@ -220,12 +219,12 @@
 	return u.Seq < old.Seq
 }
 
-func (w *World) remove(now time.Time, source Source, key string, disturbed bool) bool {
+func (w *World) remove(source Source, key string, lapseEnd time.Time) bool {
 	switch source {
 	case Upstreams:
 		old, known := w.Upstreams[key]
 		if known {
-			w.Tombstones[key] = Tombstone{Upstream: old, At: now, Disturbed: disturbed}
+			w.Tombstones[key] = Tombstone{Upstream: old, LapseEnd: lapseEnd}
 			delete(w.Upstreams, key)
 		}
 		return known
@@ -248,14 +247,14 @@
 	}
 }
 
-func (w *World) dropMissing(now time.Time, b Batch, disturbed bool) {
+func (w *World) dropMissing(b Batch, lapseEnd time.Time) {
 	present := make(map[string]bool, len(b.Updates))
 	for _, u := range b.Updates {
 		present[u.Key] = true
 	}
 	for key, offset := range maps.Clone(w.offsets[b.Source]) {
 		if !present[key] && offset < b.End {
-			w.remove(now, b.Source, key, disturbed)
+			w.remove(b.Source, key, lapseEnd)
 			w.offsets[b.Source][key] = b.End - 1
 		}
 	}
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -8,6 +8,9 @@
 	"pgregory.net/rapid"
 )
 
+// noLapse says that no record lapsed in an outage.
+var noLapse time.Time
+
 var start = time.Unix(1_700_000_000, 0)
 
 func upstreamUpdate(offset int64, u Upstream) Update {
@@ -30,7 +33,7 @@
 		for range rapid.IntRange(1, 30).Draw(t, "records") {
 			version := uint64(rapid.IntRange(1, 20).Draw(t, "version"))
 			offset := int64(rapid.IntRange(0, 50).Draw(t, "offset"))
-			w.Apply(start, records(Operators, Update{Key: ConfigKey, Offset: offset, Config: &Config{Version: version}}), false)
+			w.Apply(start, records(Operators, Update{Key: ConfigKey, Offset: offset, Config: &Config{Version: version}}), noLapse)
 			if w.Config.Version < newest {
 				t.Fatalf("version %d after %d", w.Config.Version, newest)
 			}
@@ -65,8 +68,8 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			w := NewWorld()
-			w.Apply(start, records(Upstreams, upstreamUpdate(0, base)), false)
-			changed := w.Apply(start, records(Upstreams, test.second), false)
+			w.Apply(start, records(Upstreams, upstreamUpdate(0, base)), noLapse)
+			changed := w.Apply(start, records(Upstreams, test.second), noLapse)
 			assert.Equal(t, test.changed, len(changed.Updates) > 0)
 			got, known := w.Upstreams["u"]
 			assert.Equal(t, test.want != nil, known)
@@ -83,21 +86,21 @@
 func TestDrainingIsFinalForAProcess(t *testing.T) {
 	w := NewWorld()
 	u := Upstream{ID: "u", Seq: 1, Born: 1, Draining: true}
-	w.Apply(start, records(Upstreams, upstreamUpdate(0, u)), false)
+	w.Apply(start, records(Upstreams, upstreamUpdate(0, u)), noLapse)
 	u.Seq, u.Draining = 2, false
-	w.Apply(start, records(Upstreams, upstreamUpdate(1, u)), false)
+	w.Apply(start, records(Upstreams, upstreamUpdate(1, u)), noLapse)
 	assert.True(t, w.Upstreams["u"].Draining)
 }
 
 // Guards against keys that stay after a snapshot without them, and against a record newer than the snapshot that it drops.
 func TestSnapshotDropsWhatItLacks(t *testing.T) {
 	w := NewWorld()
-	w.Apply(start, records(Upstreams, upstreamUpdate(0, Upstream{ID: "a"}), upstreamUpdate(1, Upstream{ID: "b"}), upstreamUpdate(9, Upstream{ID: "late"})), false)
+	w.Apply(start, records(Upstreams, upstreamUpdate(0, Upstream{ID: "a"}), upstreamUpdate(1, Upstream{ID: "b"}), upstreamUpdate(9, Upstream{ID: "late"})), noLapse)
 	snapshot := records(Upstreams, upstreamUpdate(1, Upstream{ID: "b"}))
 	snapshot.Snapshot, snapshot.End = true, 5
-	w.Apply(start, snapshot, true)
+	w.Apply(start, snapshot, start.Add(time.Second))
 	assert.NotContains(t, w.Upstreams, "a")
-	assert.True(t, w.Tombstones["a"].Disturbed)
+	assert.Equal(t, start.Add(time.Second), w.Tombstones["a"].LapseEnd)
 	assert.Contains(t, w.Upstreams, "b")
 	assert.Contains(t, w.Upstreams, "late")
 }
@@ -105,10 +108,10 @@
 // Guards against a lapsed upstream that comes back and keeps its tombstone.
 func TestAReturningUpstreamLosesItsTombstone(t *testing.T) {
 	w := NewWorld()
-	w.Apply(start, records(Upstreams, upstreamUpdate(0, Upstream{ID: "a", Seq: 1})), false)
-	w.Apply(start, records(Upstreams, Update{Key: "a", Offset: 1, Removed: true}), true)
+	w.Apply(start, records(Upstreams, upstreamUpdate(0, Upstream{ID: "a", Seq: 1})), noLapse)
+	w.Apply(start, records(Upstreams, Update{Key: "a", Offset: 1, Removed: true}), start.Add(time.Second))
 	assert.Contains(t, w.Tombstones, "a")
-	w.Apply(start, records(Upstreams, upstreamUpdate(2, Upstream{ID: "a", Seq: 2})), false)
+	w.Apply(start, records(Upstreams, upstreamUpdate(2, Upstream{ID: "a", Seq: 2})), noLapse)
 	assert.NotContains(t, w.Tombstones, "a")
 }
 
@@ -120,14 +123,14 @@
 		Update{Key: MoveKey + "s", Offset: 1, Move: &Move{Service: "s", Version: "v2", Duration: time.Second}},
 		Update{Key: EvacuateKey + "z", Offset: 2, Evacuee: "z"},
 		Update{Key: EvacuateKey + "y", Offset: 3, Evacuee: "y"},
-		Update{Key: EvacuateKey + "y", Offset: 4, Removed: true}), false)
-	w.Apply(start, records(Upstreams, upstreamUpdate(0, Upstream{ID: "u"})), false)
-	w.Apply(start, records(Statuses, Update{Key: MoveKey + "s", Offset: 0, Status: &MoveStatus{Service: "s", Version: "v2", State: MoveRunning}}), false)
-	w.Apply(start, records(Entries, Update{Key: "e", Offset: 0, Entry: &Entry{Name: "e"}}), false)
+		Update{Key: EvacuateKey + "y", Offset: 4, Removed: true}), noLapse)
+	w.Apply(start, records(Upstreams, upstreamUpdate(0, Upstream{ID: "u"})), noLapse)
+	w.Apply(start, records(Statuses, Update{Key: MoveKey + "s", Offset: 0, Status: &MoveStatus{Service: "s", Version: "v2", State: MoveRunning}}), noLapse)
+	w.Apply(start, records(Entries, Update{Key: "e", Offset: 0, Entry: &Entry{Name: "e"}}), noLapse)
 	other := NewWorld()
 	for source := range sourceCount {
 		b := w.SnapshotOf(start.Add(5*time.Second), source)
-		other.Apply(start.Add(5*time.Second), b, false)
+		other.Apply(start.Add(5*time.Second), b, noLapse)
 	}
 	assert.Equal(t, w.Config, other.Config)
 	assert.Equal(t, w.Upstreams, other.Upstreams)
