Complete moves to new versions 2.5 s before their end

Change: the phase in which all traffic goes to the new version begins 2.5 s before the end instead of 1.5 s. That leaves time for a second write.

--- a/internal/placement/move.go
+++ b/internal/placement/move.go
@@ -12,8 +12,9 @@
 	// the rest.
 	trialPart      = 0.3
 	trialSlackPart = 0.25
-	// finalPhase is the time before the end of a move at which all traffic goes to the new version.
-	finalPhase = 1500 * time.Millisecond
+	// finalPhase is the time before the end of a move at which all traffic goes to the new version. After the calls on the old one
+	// it leaves 1.2 s to report the completion, enough for a second write to the store when the first one is lost.
+	finalPhase = 2500 * time.Millisecond
 	// minFinal is how long all traffic goes to the new version at least, so that one that is bad under load shows it.
 	minFinal = 800 * time.Millisecond
 	// drainBeforeCompletion is how long calls on the old version may still run; it ends at once on completion.
--- a/internal/placement/pool_test.go
+++ b/internal/placement/pool_test.go
@@ -315,7 +315,10 @@
 	}
 	r := playMove(good)
 	assert.Equal(t, Done, r.finished)
-	assert.Less(t, r.at, 12*time.Second)
+	// Guards against a completion that is reported too late (killed-after-acting on hokusei-gw-grown: 0.2 s before the end). A write
+	// that is lost takes 0.5 s, the look at the log up to 0.5 s and the pause before the second write 0.15 s.
+	const secondWrite = 1150 * time.Millisecond
+	assert.LessOrEqual(t, r.at, 12*time.Second-secondWrite)
 	for name, outcome := range bad {
 		t.Run(name, func(t *testing.T) {
 			r := playMove(outcome)
