--- a/cmd/boragehinge/apply.go
+++ b/cmd/boragehinge/apply.go
@@ -14,9 +14,10 @@
 	"github.com/spf13/cobra"
 
 	"boragehinge.example/boragehinge/internal/configlog"
+	"boragehinge.example/boragehinge/internal/logservice"
 	"boragehinge.example/boragehinge/internal/model"
 	"boragehinge.example/boragehinge/internal/operators"
-	"boragehinge.example/boragehinge/internal/platform"
+	"boragehinge.example/boragehinge/internal/pause"
 	"boragehinge.example/boragehinge/inventory"
 )
 
@@ -129,7 +130,7 @@
 	if err != nil {
 		return applyResult{}, err
 	}
-	log, err := platform.NewClient(platform.ClientSettings{URL: a.platform})
+	log, err := logservice.NewClient(logservice.ClientSettings{URL: a.platform})
 	if err != nil {
 		return applyResult{}, fmt.Errorf("--platform-url: %w", err)
 	}
@@ -243,7 +244,7 @@
 		} else if ctx.Err() == nil {
 			problem = err.Error()
 		}
-		if platform.Sleep(ctx, applyPoll) != nil {
+		if pause.Sleep(ctx, applyPoll) != nil {
 			r.Explanation = fmt.Sprintf("configuration %d is accepted, but was not in force everywhere within %s: %s; it stays accepted, "+
 				"see boragehinge status", r.Version, a.timeout, problem)
 			return r, exitUndecided
--- a/cmd/boragehinge/apply_test.go
+++ b/cmd/boragehinge/apply_test.go
@@ -15,8 +15,8 @@
 	"github.com/stretchr/testify/require"
 
 	"boragehinge.example/boragehinge/internal/configlog"
+	"boragehinge.example/boragehinge/internal/logservice/standin"
 	"boragehinge.example/boragehinge/internal/operators"
-	"boragehinge.example/boragehinge/internal/platform/standin"
 	"boragehinge.example/boragehinge/inventory"
 )
 
--- a/cmd/boragehinge/show.go
+++ b/cmd/boragehinge/show.go
@@ -12,7 +12,7 @@
 	"github.com/spf13/cobra"
 
 	"boragehinge.example/boragehinge/internal/configlog"
-	"boragehinge.example/boragehinge/internal/platform"
+	"boragehinge.example/boragehinge/internal/logservice"
 )
 
 // shownConfiguration is the newest configuration of the log.
@@ -64,7 +64,7 @@
 }
 
 func newestConfiguration(ctx context.Context, url string) (shownConfiguration, error) {
-	log, err := platform.NewClient(platform.ClientSettings{URL: url})
+	log, err := logservice.NewClient(logservice.ClientSettings{URL: url})
 	if err != nil {
 		return shownConfiguration{}, fmt.Errorf("--platform-url: %w", err)
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -16,10 +16,10 @@
 	"boragehinge.example/boragehinge/internal/configlog"
 	"boragehinge.example/boragehinge/internal/facts"
 	"boragehinge.example/boragehinge/internal/idempotency"
+	"boragehinge.example/boragehinge/internal/logservice"
 	"boragehinge.example/boragehinge/internal/membership"
 	"boragehinge.example/boragehinge/internal/operators"
 	"boragehinge.example/boragehinge/internal/peer"
-	"boragehinge.example/boragehinge/internal/platform"
 	"boragehinge.example/boragehinge/internal/proxy"
 	"boragehinge.example/boragehinge/internal/rollout"
 	"boragehinge.example/boragehinge/internal/telemetry"
@@ -51,7 +51,7 @@
 
 	conf       atomic.Pointer[configuration]
 	confMu     sync.Mutex // serialises the building of configurations
-	hosts      atomic.Pointer[[]platform.Host]
+	hosts      atomic.Pointer[[]logservice.Host]
 	ownership  ownership
 	choosers   atomic.Pointer[map[chooserKey]*serviceChooser]
 	registrar  *registrar
@@ -117,7 +117,7 @@
 	self := e.self()
 	e.follower = configlog.NewFollower(configlog.FollowerSettings{
 		Log:  e.plat.log,
-		Self: platform.Host{Name: self.Host, DataCentre: self.DataCentre, Address: self.PeerAddress, State: platform.HostLive},
+		Self: logservice.Host{Name: self.Host, DataCentre: self.DataCentre, Address: self.PeerAddress, State: logservice.HostLive},
 		OnView: func(v configlog.View) {
 			e.takeView(v)
 		},
--- a/entry/moves_test.go
+++ b/entry/moves_test.go
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"boragehinge.example/boragehinge/internal/emulator"
-	"boragehinge.example/boragehinge/internal/platform/standin"
+	"boragehinge.example/boragehinge/internal/logservice/standin"
 	"boragehinge.example/boragehinge/internal/rollout"
 )
 
--- a/entry/options.go
+++ b/entry/options.go
@@ -7,8 +7,8 @@
 	"os"
 	"time"
 
+	"boragehinge.example/boragehinge/internal/logservice"
 	"boragehinge.example/boragehinge/internal/membership"
-	"boragehinge.example/boragehinge/internal/platform"
 	"boragehinge.example/boragehinge/internal/settings"
 )
 
@@ -22,11 +22,11 @@
 	out        io.Writer
 	operators  func(*Entry) http.Handler
 	membership membership.Config
-	backoff    platform.Backoff // of reads of the log
-	hostsEvery time.Duration    // interval of reads of the host list
-	timeout    time.Duration    // of one request to the platform
-	keep       time.Duration    // time for which callers keep addresses
-	stopMargin time.Duration    // served longer than callers keep addresses
+	backoff    logservice.Backoff // of reads of the log
+	hostsEvery time.Duration      // interval of reads of the host list
+	timeout    time.Duration      // of one request to the platform
+	keep       time.Duration      // time for which callers keep addresses
+	stopMargin time.Duration      // served longer than callers keep addresses
 }
 
 func defaultOptions(s Settings) options {
--- a/entry/outage_test.go
+++ b/entry/outage_test.go
@@ -8,7 +8,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"boragehinge.example/boragehinge/internal/emulator"
-	"boragehinge.example/boragehinge/internal/platform/standin"
+	"boragehinge.example/boragehinge/internal/logservice/standin"
 )
 
 func faultsOff(w *world) standin.Faults {
--- a/entry/records.go
+++ b/entry/records.go
@@ -7,8 +7,8 @@
 
 	"boragehinge.example/boragehinge/internal/cluster"
 	"boragehinge.example/boragehinge/internal/configlog"
+	"boragehinge.example/boragehinge/internal/logservice"
 	"boragehinge.example/boragehinge/internal/membership"
-	"boragehinge.example/boragehinge/internal/platform"
 	"boragehinge.example/boragehinge/internal/wire"
 )
 
@@ -102,9 +102,9 @@
 }
 
 func (e *Entry) takeRecords(from membership.Member, r wire.Records) {
-	entries := make([]platform.Entry, 0, len(r.Records))
+	entries := make([]logservice.Entry, 0, len(r.Records))
 	for _, rec := range r.Records {
-		entries = append(entries, platform.Entry{
+		entries = append(entries, logservice.Entry{
 			Offset: int64(rec.Offset), Time: time.UnixMilli(int64(rec.TimeMs)).UTC(), Data: []byte(rec.Data),
 		})
 	}
--- a/entry/spec.go
+++ b/entry/spec.go
@@ -2,7 +2,7 @@
 
 import (
 	"boragehinge.example/boragehinge/internal/dispatch"
-	"boragehinge.example/boragehinge/internal/platform"
+	"boragehinge.example/boragehinge/internal/logservice"
 	"boragehinge.example/boragehinge/inventory"
 )
 
@@ -64,7 +64,7 @@
 	}
 	out := map[string]bool{}
 	for _, h := range *list {
-		if h.State == platform.HostLeaving {
+		if h.State == logservice.HostLeaving {
 			out[h.Name] = true
 		}
 	}
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -19,9 +19,9 @@
 
 	"boragehinge.example/boragehinge/internal/configlog"
 	"boragehinge.example/boragehinge/internal/emulator"
+	"boragehinge.example/boragehinge/internal/logservice"
+	"boragehinge.example/boragehinge/internal/logservice/standin"
 	"boragehinge.example/boragehinge/internal/model"
-	"boragehinge.example/boragehinge/internal/platform"
-	"boragehinge.example/boragehinge/internal/platform/standin"
 	"boragehinge.example/boragehinge/internal/settings"
 	"boragehinge.example/boragehinge/inventory"
 )
@@ -114,7 +114,7 @@
 		o.hostsEvery, o.stopMargin = 100*time.Millisecond, 200*time.Millisecond
 		// All entries read the host list within 0.2 s of each other.
 		o.membership.RosterHold = time.Second
-		o.backoff = platform.Backoff{Min: 20 * time.Millisecond, Max: 200 * time.Millisecond}
+		o.backoff = logservice.Backoff{Min: 20 * time.Millisecond, Max: 200 * time.Millisecond}
 	})
 	require.NoError(w.t, err)
 	ctx, stop := context.WithCancel(context.Background())
@@ -135,7 +135,7 @@
 func (w *world) listHosts() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	var hosts []platform.Host
+	var hosts []logservice.Host
 	for _, r := range w.entries {
 		select {
 		case <-r.done:
@@ -143,7 +143,7 @@
 		default:
 		}
 		_, peers, _ := r.Addresses()
-		hosts = append(hosts, platform.Host{Name: r.host, DataCentre: r.set.DataCentre, Address: peers, State: platform.HostLive})
+		hosts = append(hosts, logservice.Host{Name: r.host, DataCentre: r.set.DataCentre, Address: peers, State: logservice.HostLive})
 	}
 	body, err := json.Marshal(map[string]any{"hosts": hosts})
 	require.NoError(w.t, err)
--- a/internal/capacity/configuration.go
+++ b/internal/capacity/configuration.go
@@ -12,8 +12,8 @@
 	"boragehinge.example/boragehinge/internal/configlog"
 	"boragehinge.example/boragehinge/internal/discovery"
 	"boragehinge.example/boragehinge/internal/dispatch"
+	"boragehinge.example/boragehinge/internal/logservice"
 	"boragehinge.example/boragehinge/internal/model"
-	"boragehinge.example/boragehinge/internal/platform"
 	"boragehinge.example/boragehinge/inventory"
 )
 
@@ -75,7 +75,7 @@
 		if err != nil {
 			return configlog.Result{Reason: err.Error()}
 		}
-		return f.Apply(platform.Entry{Offset: f.Next(), Time: time.Unix(f.Next(), 0), Data: data})
+		return f.Apply(logservice.Entry{Offset: f.Next(), Time: time.Unix(f.Next(), 0), Data: data})
 	}
 	f := configlog.NewFold()
 	if r := next(f); r.Outcome != configlog.Accepted {
@@ -144,7 +144,7 @@
 		}
 		bytes += len(data)
 		start := cpuTime()
-		result := f.Apply(platform.Entry{Offset: f.Next(), Time: time.Unix(int64(i), 0), Data: data})
+		result := f.Apply(logservice.Entry{Offset: f.Next(), Time: time.Unix(int64(i), 0), Data: data})
 		cpu += cpuTime() - start
 		if result.Outcome != configlog.Accepted {
 			return fmt.Errorf("%w: %v", errFold, result)
--- a/internal/capacity/daemon.go
+++ b/internal/capacity/daemon.go
@@ -14,9 +14,9 @@
 
 	"boragehinge.example/boragehinge/entry"
 	"boragehinge.example/boragehinge/internal/discovery"
+	"boragehinge.example/boragehinge/internal/logservice"
+	"boragehinge.example/boragehinge/internal/logservice/standin"
 	"boragehinge.example/boragehinge/internal/model"
-	"boragehinge.example/boragehinge/internal/platform"
-	"boragehinge.example/boragehinge/internal/platform/standin"
 	"boragehinge.example/boragehinge/internal/settings"
 	"boragehinge.example/boragehinge/inventory"
 )
@@ -152,7 +152,7 @@
 	return w, nil
 }
 
-func appendInventory(ctx context.Context, log platform.Log, addresses []string) error {
+func appendInventory(ctx context.Context, log logservice.Log, addresses []string) error {
 	inv := synthetic(1, 0)
 	inv.Rules = nil
 	s := &inv.Services[0]
@@ -173,9 +173,9 @@
 }
 
 func listHosts(log *standin.Server, both []*process) error {
-	var hosts []platform.Host
+	var hosts []logservice.Host
 	for i, p := range both {
-		hosts = append(hosts, platform.Host{Name: fmt.Sprintf("h-%d", i), DataCentre: dataCentreName(0), Address: p.started.Peers, State: platform.HostLive})
+		hosts = append(hosts, logservice.Host{Name: fmt.Sprintf("h-%d", i), DataCentre: dataCentreName(0), Address: p.started.Peers, State: logservice.HostLive})
 	}
 	body, err := json.Marshal(map[string]any{"hosts": hosts})
 	if err != nil {
--- a/internal/capacity/start.go
+++ b/internal/capacity/start.go
@@ -7,28 +7,29 @@
 	"time"
 
 	"boragehinge.example/boragehinge/internal/configlog"
-	"boragehinge.example/boragehinge/internal/platform"
+	"boragehinge.example/boragehinge/internal/logservice"
+	"boragehinge.example/boragehinge/internal/pause"
 	"boragehinge.example/boragehinge/inventory"
 )
 
 // memoryLog is a log without delay that only grows.
 type memoryLog struct {
 	mu      sync.Mutex
-	entries []platform.Entry
+	entries []logservice.Entry
 	reads   int
 }
 
-// Append implements platform.Log.
+// Append implements logservice.Log.
 func (l *memoryLog) Append(_ context.Context, data []byte) (int64, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	offset := int64(len(l.entries) + 1)
-	l.entries = append(l.entries, platform.Entry{Offset: offset, Time: time.Now(), Data: data})
+	l.entries = append(l.entries, logservice.Entry{Offset: offset, Time: time.Now(), Data: data})
 	return offset, nil
 }
 
-// Read implements platform.Log.
-func (l *memoryLog) Read(ctx context.Context, from int64, limit int, wait time.Duration) ([]platform.Entry, error) {
+// Read implements logservice.Log.
+func (l *memoryLog) Read(ctx context.Context, from int64, limit int, wait time.Duration) ([]logservice.Entry, error) {
 	l.mu.Lock()
 	l.reads++
 	rest := l.entries[min(int(from)-1, len(l.entries)):]
@@ -36,7 +37,7 @@
 	if len(rest) > 0 {
 		return rest[:min(limit, len(rest))], nil
 	}
-	return nil, platform.Sleep(ctx, wait)
+	return nil, pause.Sleep(ctx, wait)
 }
 
 // startLimit ends the wait for an entry that doesn't become ready.
@@ -94,14 +95,14 @@
 	return l, nil
 }
 
-func startTime(ctx context.Context, log platform.Log, population int) float64 {
+func startTime(ctx context.Context, log logservice.Log, population int) float64 {
 	ctx, cancel := context.WithTimeout(ctx, startLimit)
 	defer cancel()
-	self := platform.Host{Name: "h-0", DataCentre: dataCentreName(0)}
+	self := logservice.Host{Name: "h-0", DataCentre: dataCentreName(0)}
 	f := configlog.NewFollower(configlog.FollowerSettings{Log: log, Self: self})
-	var hosts []platform.Host
+	var hosts []logservice.Host
 	for i := range population {
-		hosts = append(hosts, platform.Host{Name: fmt.Sprintf("h-%d", i), DataCentre: dataCentreName(i % dataCentres)})
+		hosts = append(hosts, logservice.Host{Name: fmt.Sprintf("h-%d", i), DataCentre: dataCentreName(i % dataCentres)})
 	}
 	f.SetHosts(hosts)
 	start := time.Now()
--- a/internal/configlog/buffer.go
+++ b/internal/configlog/buffer.go
@@ -1,6 +1,6 @@
 package configlog
 
-import "boragehinge.example/boragehinge/internal/platform"
+import "boragehinge.example/boragehinge/internal/logservice"
 
 const (
 	bufferRecords = 1024
@@ -9,11 +9,11 @@
 
 // buffer holds the newest records without a gap, bounded by number and bytes.
 type buffer struct {
-	entries []platform.Entry
+	entries []logservice.Entry
 	bytes   int
 }
 
-func (b *buffer) add(e platform.Entry) {
+func (b *buffer) add(e logservice.Entry) {
 	if n := len(b.entries); n > 0 && b.entries[n-1].Offset+1 != e.Offset {
 		b.clear()
 	}
@@ -22,7 +22,7 @@
 	drop := 0
 	for len(b.entries)-drop > bufferRecords || b.bytes > bufferBytes {
 		b.bytes -= len(b.entries[drop].Data)
-		b.entries[drop] = platform.Entry{}
+		b.entries[drop] = logservice.Entry{}
 		drop++
 	}
 	b.entries = b.entries[drop:]
@@ -38,12 +38,12 @@
 	return b.entries[0].Offset
 }
 
-func (b *buffer) from(offset int64, maxBytes int) []platform.Entry {
+func (b *buffer) from(offset int64, maxBytes int) []logservice.Entry {
 	rest := b.entries[offset-b.entries[0].Offset:]
 	n, bytes := 0, 0
 	for n < len(rest) && (n == 0 || bytes+len(rest[n].Data) <= maxBytes) {
 		bytes += len(rest[n].Data)
 		n++
 	}
-	return append([]platform.Entry(nil), rest[:n]...)
+	return append([]logservice.Entry(nil), rest[:n]...)
 }
--- a/internal/configlog/cursor.go
+++ b/internal/configlog/cursor.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"time"
 
-	"boragehinge.example/boragehinge/internal/platform"
+	"boragehinge.example/boragehinge/internal/logservice"
 )
 
 // readBatch keeps an answer with records of the largest size near 20 MB, which the platform client accepts.
@@ -31,7 +31,7 @@
 
 // failed takes the error of a read. It reports whether reading can go on at once at another place.
 func (c *cursor) failed(err error) bool {
-	var expired platform.ErrExpired
+	var expired logservice.ErrExpired
 	if !errors.As(err, &expired) {
 		return false
 	}
@@ -40,7 +40,7 @@
 	return true
 }
 
-func (c *cursor) apply(f *Fold, entries []platform.Entry, each func(platform.Entry, Result)) {
+func (c *cursor) apply(f *Fold, entries []logservice.Entry, each func(logservice.Entry, Result)) {
 	for _, e := range entries {
 		r := f.Apply(e)
 		if each != nil {
@@ -65,7 +65,7 @@
 
 // Load reads the whole log and returns its fold. It fails when the log can't be read or its kept part has no state to
 // start from.
-func Load(ctx context.Context, log platform.Log) (*Fold, error) {
+func Load(ctx context.Context, log logservice.Log) (*Fold, error) {
 	f, c := NewFold(), &cursor{}
 	if err := catchUp(ctx, log, f, c, nil); err != nil {
 		return nil, err
@@ -77,7 +77,7 @@
 }
 
 // catchUp reads until there is nothing more to read.
-func catchUp(ctx context.Context, log platform.Log, f *Fold, c *cursor, each func(platform.Entry, Result)) error {
+func catchUp(ctx context.Context, log logservice.Log, f *Fold, c *cursor, each func(logservice.Entry, Result)) error {
 	for {
 		n, err := readOnce(ctx, log, f, c, 0, each)
 		if err != nil {
@@ -91,7 +91,7 @@
 
 // readOnce reads one batch and returns how many entries it had. An expired place counts as one.
 func readOnce(
-	ctx context.Context, log platform.Log, f *Fold, c *cursor, wait time.Duration, each func(platform.Entry, Result),
+	ctx context.Context, log logservice.Log, f *Fold, c *cursor, wait time.Duration, each func(logservice.Entry, Result),
 ) (int, error) {
 	entries, err := log.Read(ctx, c.from(f.Next()), readBatch, wait)
 	if c.failed(err) {
--- a/internal/configlog/fold.go
+++ b/internal/configlog/fold.go
@@ -7,8 +7,8 @@
 	"slices"
 	"time"
 
+	"boragehinge.example/boragehinge/internal/logservice"
 	"boragehinge.example/boragehinge/internal/model"
-	"boragehinge.example/boragehinge/internal/platform"
 )
 
 // Outcome says what a record did.
@@ -113,7 +113,7 @@
 
 // Apply applies one entry. Entries may come in any order and more than once; only the one at Next, or a snapshot that
 // reaches further, changes the state.
-func (f *Fold) Apply(e platform.Entry) Result {
+func (f *Fold) Apply(e logservice.Entry) Result {
 	if e.Offset < f.next {
 		return Result{Offset: e.Offset, Outcome: Stale}
 	}
@@ -160,7 +160,7 @@
 }
 
 // advance moves past an entry. Log time never falls, even when the log's clock does.
-func (f *Fold) advance(e platform.Entry) {
+func (f *Fold) advance(e logservice.Entry) {
 	f.next = e.Offset + 1
 	if e.Time.After(f.logTime) {
 		f.logTime = e.Time
@@ -171,7 +171,7 @@
 	f.stopLateMoves()
 }
 
-func (f *Fold) applyChange(e platform.Entry, c *Change) Result {
+func (f *Fold) applyChange(e logservice.Entry, c *Change) Result {
 	res := Result{Offset: e.Offset, Kind: KindChange, ChangeID: c.ID}
 	if first, ok := f.change(c.ID); ok {
 		res.Outcome, res.First, res.FirstOffset = Repeated, Accepted, first.Offset
@@ -234,7 +234,7 @@
 	}
 }
 
-func (f *Fold) applyLease(e platform.Entry, l *Lease) string {
+func (f *Fold) applyLease(e logservice.Entry, l *Lease) string {
 	held, ok := f.leases[l.Name]
 	if ok && held.Holder != l.Holder && f.logTime.Before(held.Until) {
 		return fmt.Sprintf("held by %s until %s", held.Holder, held.Until.Format(time.RFC3339))
--- a/internal/configlog/fold_test.go
+++ b/internal/configlog/fold_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"boragehinge.example/boragehinge/internal/platform"
+	"boragehinge.example/boragehinge/internal/logservice"
 )
 
 // Guards against two operators who both believe that their change won, and against a loser who isn't told why.
@@ -73,7 +73,7 @@
 func TestGapAndStale(t *testing.T) {
 	f := newFeeder(t)
 	f.add(changeRecord("a", 0, inventoryJSON(3, "")))
-	third := platform.Entry{Offset: 3, Time: start, Data: encode(t, changeRecord("c", 1, inventoryJSON(5, "")))}
+	third := logservice.Entry{Offset: 3, Time: start, Data: encode(t, changeRecord("c", 1, inventoryJSON(5, "")))}
 	require.Equal(t, Gap, f.fold.Apply(third).Outcome)
 	require.Equal(t, Stale, f.fold.Apply(f.log[0]).Outcome)
 	require.Equal(t, int64(2), f.fold.Next())
@@ -111,7 +111,7 @@
 				offset = 2
 			}
 			fresh := NewFold()
-			require.Equal(t, Corrupt, fresh.Apply(platform.Entry{Offset: offset, Time: start, Data: data}).Outcome)
+			require.Equal(t, Corrupt, fresh.Apply(logservice.Entry{Offset: offset, Time: start, Data: data}).Outcome)
 			require.Equal(t, int64(1), fresh.Next())
 		})
 	}
--- a/internal/configlog/follower.go
+++ b/internal/configlog/follower.go
@@ -9,7 +9,8 @@
 	"sync/atomic"
 	"time"
 
-	"boragehinge.example/boragehinge/internal/platform"
+	"boragehinge.example/boragehinge/internal/logservice"
+	"boragehinge.example/boragehinge/internal/pause"
 )
 
 const (
@@ -34,8 +35,8 @@
 
 // FollowerSettings configures a Follower.
 type FollowerSettings struct {
-	Log  platform.Log
-	Self platform.Host // this entry
+	Log  logservice.Log
+	Self logservice.Host // this entry
 	// OnView receives each new state, in order of rising View.Through, from one goroutine at a time. It may call the
 	// Follower but must not block for long.
 	OnView func(View)
@@ -114,7 +115,7 @@
 }
 
 // SetHosts takes the last known host list, from which the roster of this data centre and the pace of reads follow.
-func (f *Follower) SetHosts(hosts []platform.Host) {
+func (f *Follower) SetHosts(hosts []logservice.Host) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.roster = map[string]bool{f.set.Self.Name: true}
@@ -183,7 +184,7 @@
 // Offer takes the records of a peer's answer to a request from Next on. An empty answer says that the peer, which must
 // be ready itself, has nothing newer; a peer is asked again until then. A majority of such answers makes this entry
 // ready without the log, if they came within answerValid.
-func (f *Follower) Offer(peer string, entries []platform.Entry) {
+func (f *Follower) Offer(peer string, entries []logservice.Entry) {
 	f.mu.Lock()
 	for _, e := range entries {
 		f.take(e, f.fold.Apply(e))
@@ -200,7 +201,7 @@
 // Records answers a peer's request: the records from `from` on, at most maxBytes of them but at least one, or this
 // entry's own state as a snapshot when older records are asked for than the buffer holds. It returns ErrNotReady when
 // the peer must not be answered.
-func (f *Follower) Records(from int64, maxBytes int) (entries []platform.Entry, oldest int64, err error) {
+func (f *Follower) Records(from int64, maxBytes int) (entries []logservice.Entry, oldest int64, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.current {
@@ -218,11 +219,11 @@
 	if err != nil {
 		return nil, oldest, err
 	}
-	return []platform.Entry{{Offset: next - 1, Time: f.fold.logTime, Data: data}}, oldest, nil
+	return []logservice.Entry{{Offset: next - 1, Time: f.fold.logTime, Data: data}}, oldest, nil
 }
 
 // take keeps an applied record for peers. The caller holds mu.
-func (f *Follower) take(e platform.Entry, r Result) {
+func (f *Follower) take(e logservice.Entry, r Result) {
 	switch r.Outcome {
 	case Stale, Gap:
 		return
@@ -253,17 +254,17 @@
 
 // Run reads the log until ctx ends, and writes snapshots when they are due.
 func (f *Follower) Run(ctx context.Context) error {
-	var backoff platform.Backoff
+	var backoff logservice.Backoff
 	for ctx.Err() == nil {
 		err := f.readStep(ctx)
-		pause := f.readInterval()
+		delay := f.readInterval()
 		if err != nil {
-			pause = max(pause, backoff.Next())
+			delay = max(delay, backoff.Next())
 		} else {
 			backoff.Reset()
 			f.snapshotStep(ctx)
 		}
-		if platform.Sleep(ctx, pause) != nil {
+		if pause.Sleep(ctx, delay) != nil {
 			break
 		}
 	}
@@ -316,7 +317,7 @@
 }
 
 // reached reports whether a short read took the fold to the end of the log.
-func (f *Follower) reached(from int64, entries []platform.Entry) bool {
+func (f *Follower) reached(from int64, entries []logservice.Entry) bool {
 	end := from
 	if len(entries) > 0 {
 		end = entries[len(entries)-1].Offset + 1
--- a/internal/configlog/follower_test.go
+++ b/internal/configlog/follower_test.go
@@ -9,14 +9,14 @@
 
 	"github.com/stretchr/testify/require"
 
-	"boragehinge.example/boragehinge/internal/platform"
-	"boragehinge.example/boragehinge/internal/platform/standin"
+	"boragehinge.example/boragehinge/internal/logservice"
+	"boragehinge.example/boragehinge/internal/logservice/standin"
 )
 
-func hosts(n int) []platform.Host {
-	var list []platform.Host
+func hosts(n int) []logservice.Host {
+	var list []logservice.Host
 	for i := range n {
-		list = append(list, platform.Host{Name: fmt.Sprint("e", i), DataCentre: "dc1"})
+		list = append(list, logservice.Host{Name: fmt.Sprint("e", i), DataCentre: "dc1"})
 	}
 	return list
 }
@@ -28,7 +28,7 @@
 }
 
 // startFleet runs n followers until the test ends.
-func startFleet(t *testing.T, log platform.Log, n int, retention time.Duration) *fleet {
+func startFleet(t *testing.T, log logservice.Log, n int, retention time.Duration) *fleet {
 	t.Helper()
 	f := &fleet{views: make([][]View, n)}
 	var running sync.WaitGroup
@@ -46,7 +46,7 @@
 	return f
 }
 
-func appendChange(t *testing.T, log platform.Log, id string, base int64) int64 {
+func appendChange(t *testing.T, log logservice.Log, id string, base int64) int64 {
 	t.Helper()
 	offset, err := log.Append(t.Context(), encode(t, changeRecord(id, base, inventoryJSON(int(base), ""))))
 	require.NoError(t, err)
@@ -66,7 +66,7 @@
 		log.SetFaults(standin.Faults{LogOutage: true})
 		time.Sleep(time.Minute)
 		_, err := f.followers[0].LogStatus()
-		require.ErrorIs(t, err, platform.ErrUnavailable)
+		require.ErrorIs(t, err, logservice.ErrUnavailable)
 		ok, _ := f.followers[0].Ready()
 		require.True(t, ok, "an outage doesn't stop an entry that runs")
 		log.SetFaults(standin.Faults{})
@@ -92,8 +92,8 @@
 		appendChange(t, log, "b", v)
 		time.Sleep(5 * time.Second)
 		log.SetFaults(standin.Faults{LogOutage: true})
-		fresh := NewFollower(FollowerSettings{Log: log, Self: platform.Host{Name: "new", DataCentre: "dc1"}})
-		fresh.SetHosts(append(hosts(4), platform.Host{Name: "far", DataCentre: "dc2"}))
+		fresh := NewFollower(FollowerSettings{Log: log, Self: logservice.Host{Name: "new", DataCentre: "dc1"}})
+		fresh.SetHosts(append(hosts(4), logservice.Host{Name: "far", DataCentre: "dc2"}))
 		go func() { _ = fresh.Run(t.Context()) }()
 		time.Sleep(5 * time.Second)
 		_, _, err := fresh.Records(1, 1000)
@@ -137,7 +137,7 @@
 		require.NoError(t, err)
 		require.Equal(t, int64(102), oldest)
 		require.Len(t, entries, 1)
-		fresh := NewFollower(FollowerSettings{Log: log, Self: platform.Host{Name: "new"}})
+		fresh := NewFollower(FollowerSettings{Log: log, Self: logservice.Host{Name: "new"}})
 		fresh.Offer("e0", entries)
 		require.Equal(t, peer.View(), fresh.View())
 	})
--- a/internal/configlog/fuzz_test.go
+++ b/internal/configlog/fuzz_test.go
@@ -5,7 +5,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"boragehinge.example/boragehinge/internal/platform"
+	"boragehinge.example/boragehinge/internal/logservice"
 )
 
 // Guards against records that crash a reader, and against a decoded record that isn't read back the same.
@@ -13,7 +13,7 @@
 	f.Add([]byte(`{"schema":1,"kind":"lease","lease":{"name":"rollout","holder":"e1","durationMs":15000}}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		fold := NewFold()
-		fold.Apply(platform.Entry{Offset: 1, Time: start, Data: data})
+		fold.Apply(logservice.Entry{Offset: 1, Time: start, Data: data})
 		require.GreaterOrEqual(t, fold.Next(), int64(1))
 		r, err := Decode(data)
 		if err != nil {
--- a/internal/configlog/helpers_test.go
+++ b/internal/configlog/helpers_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"boragehinge.example/boragehinge/internal/platform"
+	"boragehinge.example/boragehinge/internal/logservice"
 )
 
 var start = time.Date(2026, 3, 2, 8, 0, 0, 0, time.UTC)
@@ -42,13 +42,13 @@
 	t    testing.TB
 	fold *Fold
 	now  time.Time
-	log  []platform.Entry
+	log  []logservice.Entry
 }
 
 func newFeeder(t testing.TB) *feeder { return &feeder{t: t, fold: NewFold(), now: start} }
 
 func (f *feeder) raw(data []byte) Result {
-	e := platform.Entry{Offset: int64(len(f.log)) + 1, Time: f.now, Data: data}
+	e := logservice.Entry{Offset: int64(len(f.log)) + 1, Time: f.now, Data: data}
 	f.log = append(f.log, e)
 	return f.fold.Apply(e)
 }
--- a/internal/configlog/machine_test.go
+++ b/internal/configlog/machine_test.go
@@ -10,8 +10,8 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"boragehinge.example/boragehinge/internal/platform"
-	"boragehinge.example/boragehinge/internal/platform/standin"
+	"boragehinge.example/boragehinge/internal/logservice"
+	"boragehinge.example/boragehinge/internal/logservice/standin"
 )
 
 // foldMachine drives several readers over one log with limited retention. A plain list of accepted changes, kept apart
@@ -19,7 +19,7 @@
 type foldMachine struct {
 	now       time.Time
 	log       *standin.Server
-	all       []platform.Entry // every record ever written
+	all       []logservice.Entry // every record ever written
 	readers   []*Fold
 	cursors   []*cursor
 	reference *Fold
@@ -46,7 +46,7 @@
 	before := len(m.all)
 	_, err := m.log.Append(t.Context(), data)
 	if err != nil {
-		require.ErrorIs(t, err, platform.ErrUnknownOutcome)
+		require.ErrorIs(t, err, logservice.ErrUnknownOutcome)
 	}
 	entries, err := m.log.Read(t.Context(), int64(before)+1, 1, 0)
 	require.NoError(t, err)
@@ -59,7 +59,7 @@
 }
 
 // model is the rule for changes alone: a known ID has no effect, else the base must be the current version.
-func (m *foldMachine) model(e platform.Entry) int64 {
+func (m *foldMachine) model(e logservice.Entry) int64 {
 	current := m.versions[len(m.versions)-1]
 	r, err := Decode(e.Data)
 	if err != nil || r.Kind != KindChange || m.seen[r.Change.ID] {
@@ -150,7 +150,7 @@
 			from, to := m.readers[m.reader(t)], m.readers[m.reader(t)]
 			data, err := from.Snapshot()
 			require.NoError(t, err)
-			to.Apply(platform.Entry{Offset: from.Next() - 1, Time: from.logTime, Data: data})
+			to.Apply(logservice.Entry{Offset: from.Next() - 1, Time: from.logTime, Data: data})
 		},
 	}
 }
--- a/internal/configlog/moves.go
+++ b/internal/configlog/moves.go
@@ -7,8 +7,8 @@
 	"slices"
 	"strings"
 
+	"boragehinge.example/boragehinge/internal/logservice"
 	"boragehinge.example/boragehinge/internal/model"
-	"boragehinge.example/boragehinge/internal/platform"
 )
 
 // keepMoves carries the progress of moves over to an accepted configuration. A move whose versions changed under the
@@ -85,7 +85,7 @@
 	}
 }
 
-func (f *Fold) applyLeaving(e platform.Entry, l *Leaving) string {
+func (f *Fold) applyLeaving(e logservice.Entry, l *Leaving) string {
 	if l.Base > f.version.Offset {
 		return fmt.Sprintf("base %d is ahead of version %d", l.Base, f.version.Offset)
 	}
--- a/internal/configlog/record.go
+++ b/internal/configlog/record.go
@@ -7,8 +7,8 @@
 	"fmt"
 	"time"
 
+	"boragehinge.example/boragehinge/internal/logservice"
 	"boragehinge.example/boragehinge/internal/model"
-	"boragehinge.example/boragehinge/internal/platform"
 )
 
 // SchemaVersion is the version of the record format that this build reads and writes.
@@ -117,7 +117,7 @@
 
 // Decode reads a record. The error matches ErrMalformed or ErrUnknownRecord.
 func Decode(data []byte) (Record, error) {
-	if len(data) > platform.MaxRecordBytes {
+	if len(data) > logservice.MaxRecordBytes {
 		return Record{}, fmt.Errorf("%w: %d bytes", ErrMalformed, len(data))
 	}
 	var head struct {
@@ -153,8 +153,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
-	if len(data) > platform.MaxRecordBytes {
-		return nil, fmt.Errorf("%w: %d bytes", platform.ErrTooLarge, len(data))
+	if len(data) > logservice.MaxRecordBytes {
+		return nil, fmt.Errorf("%w: %d bytes", logservice.ErrTooLarge, len(data))
 	}
 	return data, nil
 }
--- a/internal/configlog/snapshot.go
+++ b/internal/configlog/snapshot.go
@@ -9,8 +9,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"boragehinge.example/boragehinge/internal/logservice"
 	"boragehinge.example/boragehinge/internal/model"
-	"boragehinge.example/boragehinge/internal/platform"
 )
 
 // Snapshot returns the state as a record, to be appended or passed to a peer.
@@ -34,7 +34,7 @@
 
 func checksum(raw []byte) string { return strconv.FormatUint(xxhash.Sum64(raw), 16) }
 
-func (f *Fold) applySnapshot(e platform.Entry, s *Snapshot) Result {
+func (f *Fold) applySnapshot(e logservice.Entry, s *Snapshot) Result {
 	res := Result{Offset: e.Offset, Kind: KindSnapshot}
 	st, inv, err := readSnapshot(e, s)
 	if err == nil && s.Through >= f.next && st.Offset < f.version.Offset {
@@ -61,7 +61,7 @@
 	return res
 }
 
-func (f *Fold) restore(e platform.Entry, st state, inv *model.Inventory) {
+func (f *Fold) restore(e logservice.Entry, st state, inv *model.Inventory) {
 	logTime := f.logTime
 	f.importState(st, inv)
 	if logTime.After(f.logTime) {
@@ -74,7 +74,7 @@
 
 // noteSnapshot remembers how far back a new reader must go: to the snapshot, or to the records between the state that
 // it holds and its own place.
-func (f *Fold) noteSnapshot(e platform.Entry, st state) {
+func (f *Fold) noteSnapshot(e logservice.Entry, st state) {
 	needed := e.Time
 	if st.Through+1 < e.Offset {
 		needed = st.LogTime
@@ -86,7 +86,7 @@
 
 // readSnapshot checks a snapshot's length, checksum and content. Through may equal the offset only in a snapshot that a
 // peer made from its own state.
-func readSnapshot(e platform.Entry, s *Snapshot) (state, *model.Inventory, error) {
+func readSnapshot(e logservice.Entry, s *Snapshot) (state, *model.Inventory, error) {
 	var st state
 	if len(s.State) != s.Length {
 		return st, nil, fmt.Errorf("length %d, expected %d", len(s.State), s.Length)
--- a/internal/configlog/submit.go
+++ b/internal/configlog/submit.go
@@ -9,7 +9,8 @@
 	"fmt"
 	"time"
 
-	"boragehinge.example/boragehinge/internal/platform"
+	"boragehinge.example/boragehinge/internal/logservice"
+	"boragehinge.example/boragehinge/internal/pause"
 )
 
 // resolveWait is how long a change whose append answer was lost is looked for before it is sent again. Sending it again
@@ -72,7 +73,7 @@
 
 // Submit appends a change and reads the log back until the change is accepted or refused, or ctx ends. fold is the
 // state that Load returned; it moves on. The error is ErrNotSubmitted or ErrUndecided.
-func Submit(ctx context.Context, log platform.Log, fold *Fold, s Submission) (Decision, error) {
+func Submit(ctx context.Context, log logservice.Log, fold *Fold, s Submission) (Decision, error) {
 	data, err := encodeSubmission(s)
 	if err != nil {
 		return Decision{}, ErrNotSubmitted{ChangeID: s.ChangeID, Cause: err}
@@ -93,12 +94,12 @@
 }
 
 type submitter struct {
-	log     platform.Log
+	log     logservice.Log
 	fold    *Fold
 	cursor  *cursor
 	change  Submission
 	data    []byte
-	backoff platform.Backoff
+	backoff logservice.Backoff
 
 	sent    int
 	maybe   bool  // the change may be in the log
@@ -126,23 +127,23 @@
 	for {
 		offset, err := w.log.Append(ctx, w.data)
 		w.sent++
-		var limited platform.ErrRateLimited
-		pause := time.Duration(0)
+		var limited logservice.ErrRateLimited
+		delay := time.Duration(0)
 		switch {
 		case err == nil:
 			w.maybe, w.offset = true, offset
 			return nil
-		case errors.Is(err, platform.ErrUnknownOutcome):
+		case errors.Is(err, logservice.ErrUnknownOutcome):
 			w.maybe = true
 			return nil
 		case errors.As(err, &limited):
-			pause = limited.RetryAfter + w.backoff.Next()
-		case errors.Is(err, platform.ErrUnavailable):
-			pause = w.backoff.Next()
+			delay = limited.RetryAfter + w.backoff.Next()
+		case errors.Is(err, logservice.ErrUnavailable):
+			delay = w.backoff.Next()
 		default:
 			return w.failed(err)
 		}
-		if platform.Sleep(ctx, pause) != nil {
+		if pause.Sleep(ctx, delay) != nil {
 			return w.failed(fmt.Errorf("%w: %w", ctx.Err(), err))
 		}
 	}
@@ -169,7 +170,7 @@
 			return d, nil
 		}
 		if err != nil {
-			if platform.Sleep(ctx, w.backoff.Next()) != nil {
+			if pause.Sleep(ctx, w.backoff.Next()) != nil {
 				return nil, fmt.Errorf("%w: %w", ctx.Err(), err)
 			}
 			continue
@@ -188,7 +189,7 @@
 	}
 }
 
-func (w *submitter) note(_ platform.Entry, r Result) {
+func (w *submitter) note(_ logservice.Entry, r Result) {
 	if r.ChangeID == w.change.ChangeID && r.Outcome == Refused {
 		w.differs = r.Differs
 	}
--- a/internal/configlog/submit_test.go
+++ b/internal/configlog/submit_test.go
@@ -15,8 +15,8 @@
 	"github.com/anishathalye/porcupine"
 	"github.com/stretchr/testify/require"
 
-	"boragehinge.example/boragehinge/internal/platform"
-	"boragehinge.example/boragehinge/internal/platform/standin"
+	"boragehinge.example/boragehinge/internal/logservice"
+	"boragehinge.example/boragehinge/internal/logservice/standin"
 )
 
 type submitInput struct{ base, id string }
@@ -177,7 +177,7 @@
 	log := standin.New(nil)
 	server := httptest.NewServer(log.Handler())
 	defer server.Close()
-	client, err := platform.NewClient(platform.ClientSettings{URL: server.URL})
+	client, err := logservice.NewClient(logservice.ClientSettings{URL: server.URL})
 	require.NoError(t, err)
 	defer client.Close()
 	log.SetFaults(standin.Faults{LogOutage: true})
@@ -198,11 +198,11 @@
 	log.SetFaults(standin.Faults{AppendsPerSecond: -1})
 	server := httptest.NewServer(log.Handler())
 	defer server.Close()
-	client, err := platform.NewClient(platform.ClientSettings{URL: server.URL, Timeout: time.Minute})
+	client, err := logservice.NewClient(logservice.ClientSettings{URL: server.URL, Timeout: time.Minute})
 	require.NoError(t, err)
 	defer client.Close()
 	for range 300 {
-		_, err := log.Append(t.Context(), make([]byte, platform.MaxRecordBytes))
+		_, err := log.Append(t.Context(), make([]byte, logservice.MaxRecordBytes))
 		require.NoError(t, err)
 	}
 	fold, err := Load(t.Context(), client)
@@ -243,7 +243,7 @@
 		s := Submission{ChangeID: "a", Operator: "o", Inventory: inventoryJSON(1, "")}
 		_, err := Submit(ctx, log, NewFold(), s)
 		require.ErrorAs(t, err, &ErrNotSubmitted{})
-		require.ErrorIs(t, err, platform.ErrUnavailable)
+		require.ErrorIs(t, err, logservice.ErrUnavailable)
 
 		log.SetFaults(standin.Faults{LoseAppends: -1})
 		ctx, cancel = context.WithTimeout(t.Context(), 10*time.Second)
--- a/internal/conformance/config_history_test.go
+++ b/internal/conformance/config_history_test.go
@@ -17,8 +17,9 @@
 	"github.com/stretchr/testify/require"
 
 	"boragehinge.example/boragehinge/internal/configlog"
-	"boragehinge.example/boragehinge/internal/platform"
-	"boragehinge.example/boragehinge/internal/platform/standin"
+	"boragehinge.example/boragehinge/internal/logservice"
+	"boragehinge.example/boragehinge/internal/logservice/standin"
+	"boragehinge.example/boragehinge/internal/pause"
 )
 
 const (
@@ -121,7 +122,7 @@
 		fold, err := configlog.Load(ctx, r.log)
 		if err == nil {
 			base := fold.Current()
-			_ = platform.Sleep(ctx, time.Duration(rng.IntN(3000))*time.Millisecond)
+			pause.For(ctx, time.Duration(rng.IntN(3000))*time.Millisecond)
 			id := fmt.Sprint(name, n)
 			op := registerOp{base: base.ChangeID, id: id, call: r.clock.Add(1)}
 			limited, cancel := context.WithTimeout(ctx, time.Duration(1+rng.IntN(10))*time.Second)
@@ -130,7 +131,7 @@
 			cancel()
 			r.decided(op, d, err)
 		}
-		_ = platform.Sleep(ctx, time.Duration(rng.IntN(4000))*time.Millisecond)
+		pause.For(ctx, time.Duration(rng.IntN(4000))*time.Millisecond)
 	}
 }
 
@@ -151,12 +152,12 @@
 
 // follow runs one follower and reads what it has in force.
 func (r *registerRun) follow(ctx context.Context, i int) {
-	self := platform.Host{Name: fmt.Sprint("e", i), DataCentre: "dc"}
+	self := logservice.Host{Name: fmt.Sprint("e", i), DataCentre: "dc"}
 	f := configlog.NewFollower(configlog.FollowerSettings{Log: r.log, Self: self, Retention: time.Minute})
 	var running sync.WaitGroup
 	running.Go(func() { _ = f.Run(ctx) })
 	for ctx.Err() == nil {
-		_ = platform.Sleep(ctx, 700*time.Millisecond)
+		pause.For(ctx, 700*time.Millisecond)
 		call := r.clock.Add(1)
 		if id := f.View().Version.ChangeID; id != "" {
 			r.add(registerOp{kind: registerRead, follower: i, id: id, call: call})
@@ -180,7 +181,7 @@
 			f.DelayMs = rng.IntN(500)
 		}
 		r.log.SetFaults(f)
-		_ = platform.Sleep(ctx, time.Duration(rng.IntN(4000))*time.Millisecond)
+		pause.For(ctx, time.Duration(rng.IntN(4000))*time.Millisecond)
 	}
 }
 
--- a/internal/conformance/config_test.go
+++ b/internal/conformance/config_test.go
@@ -13,7 +13,7 @@
 	"pgregory.net/rapid"
 
 	"boragehinge.example/boragehinge/internal/configlog"
-	"boragehinge.example/boragehinge/internal/platform"
+	"boragehinge.example/boragehinge/internal/logservice"
 )
 
 var logStart = time.Date(2026, 3, 2, 8, 0, 0, 0, time.UTC)
@@ -37,26 +37,26 @@
 
 // memoryLog is the platform's log without delays.
 type memoryLog struct {
-	entries []platform.Entry // entries[0] has offset 1
+	entries []logservice.Entry // entries[0] has offset 1
 	oldest  int64
 }
 
-func (l *memoryLog) add(data []byte) platform.Entry {
+func (l *memoryLog) add(data []byte) logservice.Entry {
 	offset := int64(len(l.entries)) + 1
-	e := platform.Entry{Offset: offset, Time: logStart.Add(time.Duration(offset) * time.Second), Data: data}
+	e := logservice.Entry{Offset: offset, Time: logStart.Add(time.Duration(offset) * time.Second), Data: data}
 	l.entries = append(l.entries, e)
 	return e
 }
 
-// Append implements platform.Log.
+// Append implements logservice.Log.
 func (l *memoryLog) Append(_ context.Context, data []byte) (int64, error) {
 	return l.add(data).Offset, nil
 }
 
-// Read implements platform.Log.
-func (l *memoryLog) Read(_ context.Context, from int64, limit int, _ time.Duration) ([]platform.Entry, error) {
+// Read implements logservice.Log.
+func (l *memoryLog) Read(_ context.Context, from int64, limit int, _ time.Duration) ([]logservice.Entry, error) {
 	if from < l.oldest {
-		return nil, platform.ErrExpired{Oldest: l.oldest}
+		return nil, logservice.ErrExpired{Oldest: l.oldest}
 	}
 	rest := l.entries[min(from-1, int64(len(l.entries))):]
 	return rest[:min(limit, len(rest))], nil
--- a/internal/conformance/follower_test.go
+++ b/internal/conformance/follower_test.go
@@ -13,24 +13,24 @@
 	"github.com/stretchr/testify/require"
 
 	"boragehinge.example/boragehinge/internal/configlog"
-	"boragehinge.example/boragehinge/internal/platform"
-	"boragehinge.example/boragehinge/internal/platform/standin"
+	"boragehinge.example/boragehinge/internal/logservice"
+	"boragehinge.example/boragehinge/internal/logservice/standin"
 )
 
 // slowLog is the log as one entry reaches it. While cut is set the entry takes no read action.
 type slowLog struct {
-	platform.Log
+	logservice.Log
 	cut atomic.Bool
 }
 
-// Read implements platform.Log.
-func (l *slowLog) Read(ctx context.Context, from int64, limit int, wait time.Duration) ([]platform.Entry, error) {
+// Read implements logservice.Log.
+func (l *slowLog) Read(ctx context.Context, from int64, limit int, wait time.Duration) ([]logservice.Entry, error) {
 	if l.cut.Load() {
-		return nil, platform.ErrUnavailable
+		return nil, logservice.ErrUnavailable
 	}
 	entries, err := l.Log.Read(ctx, from, limit, min(wait, 100*time.Millisecond))
 	if l.cut.Load() {
-		return nil, platform.ErrUnavailable
+		return nil, logservice.ErrUnavailable
 	}
 	return entries, err
 }
@@ -40,7 +40,7 @@
 	t       *testing.T
 	rng     *rand.Rand
 	log     *standin.Server
-	hosts   []platform.Host
+	hosts   []logservice.Host
 	entries []*fleetEntry
 	version int64 // newest accepted
 	changes int
@@ -80,7 +80,7 @@
 func newFleet(t *testing.T, n int, seed uint64) *fleet {
 	f := &fleet{t: t, rng: rand.New(rand.NewPCG(seed, 2)), log: standin.New(nil)}
 	for i := range n {
-		f.hosts = append(f.hosts, platform.Host{Name: fmt.Sprint("e", i), DataCentre: "dc"})
+		f.hosts = append(f.hosts, logservice.Host{Name: fmt.Sprint("e", i), DataCentre: "dc"})
 		f.entries = append(f.entries, nil)
 	}
 	for i := range n {
--- a/internal/conformance/lease_test.go
+++ b/internal/conformance/lease_test.go
@@ -10,7 +10,7 @@
 	"pgregory.net/rapid"
 
 	"boragehinge.example/boragehinge/internal/configlog"
-	"boragehinge.example/boragehinge/internal/platform"
+	"boragehinge.example/boragehinge/internal/logservice"
 	"boragehinge.example/boragehinge/internal/rollout"
 )
 
@@ -54,7 +54,7 @@
 type leaseRun struct {
 	t         *rapid.T
 	now       time.Time // log's time
-	entries   []platform.Entry
+	entries   []logservice.Entry
 	fold      *configlog.Fold // has read everything
 	ref       refLease
 	views     map[string]configlog.View // what each holder has read; it may be behind
@@ -74,7 +74,7 @@
 }
 
 func (r *leaseRun) append(rec configlog.Record) configlog.Result {
-	e := platform.Entry{Offset: int64(len(r.entries)) + 1, Time: r.now, Data: encode(r.t, rec)}
+	e := logservice.Entry{Offset: int64(len(r.entries)) + 1, Time: r.now, Data: encode(r.t, rec)}
 	r.entries = append(r.entries, e)
 	return r.fold.Apply(e)
 }
@@ -150,7 +150,7 @@
 func (r *leaseRun) restore() {
 	data, err := r.fold.Snapshot()
 	require.NoError(r.t, err)
-	e := platform.Entry{Offset: int64(len(r.entries)) + 1, Time: r.now, Data: data}
+	e := logservice.Entry{Offset: int64(len(r.entries)) + 1, Time: r.now, Data: data}
 	r.entries = append(r.entries, e)
 	fresh := configlog.NewFold()
 	require.Equal(r.t, configlog.Restored, fresh.Apply(e).Outcome)
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -15,9 +15,10 @@
 	"boragehinge.example/boragehinge/entry"
 	"boragehinge.example/boragehinge/internal/configlog"
 	"boragehinge.example/boragehinge/internal/emulator"
+	"boragehinge.example/boragehinge/internal/logservice"
+	"boragehinge.example/boragehinge/internal/logservice/standin"
 	"boragehinge.example/boragehinge/internal/model"
-	"boragehinge.example/boragehinge/internal/platform"
-	"boragehinge.example/boragehinge/internal/platform/standin"
+	"boragehinge.example/boragehinge/internal/pause"
 	"boragehinge.example/boragehinge/internal/settings"
 	"boragehinge.example/boragehinge/inventory"
 )
@@ -143,7 +144,7 @@
 		}
 		in.Entries = append(in.Entries, e)
 	}
-	in.setHosts(nil, platform.HostLive)
+	in.setHosts(nil, logservice.HostLive)
 	for _, e := range in.Entries {
 		in.run(cut, e)
 	}
@@ -234,7 +235,7 @@
 			if ok {
 				break
 			}
-			if err := platform.Sleep(ctx, 20*time.Millisecond); err != nil {
+			if err := pause.Sleep(ctx, 20*time.Millisecond); err != nil {
 				return fmt.Errorf("%s is not ready: %s", e.Host, why)
 			}
 		}
@@ -257,7 +258,7 @@
 // followUpstreams starts the upstreams that later configurations add.
 func (in *Installation) followUpstreams(ctx context.Context) {
 	version := int64(0)
-	for platform.Sleep(ctx, 100*time.Millisecond) == nil {
+	for pause.Sleep(ctx, 100*time.Millisecond) == nil {
 		snapshot := in.List()[0].Snapshot()
 		if snapshot == nil || snapshot.Version() == version {
 			continue
--- a/internal/dev/entries.go
+++ b/internal/dev/entries.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"boragehinge.example/boragehinge/internal/platform"
+	"boragehinge.example/boragehinge/internal/logservice"
 )
 
 // List returns the entries of this moment.
@@ -17,7 +17,7 @@
 // without it afterwards. The error is that of the entry's run.
 func (in *Installation) StopEntry(i int) error {
 	e := in.List()[i]
-	in.setHosts(e, platform.HostLeaving)
+	in.setHosts(e, logservice.HostLeaving)
 	e.stop()
 	<-e.ended
 	in.setHosts(e, "")
@@ -51,10 +51,10 @@
 }
 
 // setHosts sets the host list. The state of one entry is given; an empty one leaves it out.
-func (in *Installation) setHosts(changed *Entry, state platform.HostState) {
-	var hosts []platform.Host
+func (in *Installation) setHosts(changed *Entry, state logservice.HostState) {
+	var hosts []logservice.Host
 	for _, e := range in.List() {
-		h := platform.Host{Name: e.Host, DataCentre: e.DataCentre, Address: e.PeerAddress, State: platform.HostLive}
+		h := logservice.Host{Name: e.Host, DataCentre: e.DataCentre, Address: e.PeerAddress, State: logservice.HostLive}
 		if e == changed {
 			h.State = state
 		}
--- a/internal/platform/backoff.go
+++ b/internal/logservice/backoff.go
@@ -1,11 +1,8 @@
-package platform
+package logservice
 
 import (
-	"context"
 	"math/rand/v2"
 	"time"
-
-	"boragehinge.example/boragehinge/internal/pause"
 )
 
 // Backoff computes the delays between attempts: doubling from Min to Max, each drawn evenly from the upper half of its
@@ -39,9 +36,3 @@
 
 // Reset starts again from the shortest delay.
 func (b *Backoff) Reset() { b.attempt = 0 }
-
-// Sleep waits for d or until ctx ends, and returns the error of ctx in the latter case.
-func Sleep(ctx context.Context, d time.Duration) error {
-	pause.For(ctx, d)
-	return ctx.Err()
-}
--- a/internal/platform/client.go
+++ b/internal/logservice/client.go
@@ -1,4 +1,4 @@
-package platform
+package logservice
 
 import (
 	"bytes"
@@ -13,6 +13,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"boragehinge.example/boragehinge/internal/pause"
 )
 
 const (
@@ -159,7 +161,7 @@
 		if err == nil || !errors.Is(err, ErrUnavailable) || attempt == readAttempts {
 			return err
 		}
-		if Sleep(ctx, backoff.Next()) != nil {
+		if pause.Sleep(ctx, backoff.Next()) != nil {
 			return err
 		}
 	}
--- a/internal/platform/doc.go
+++ b/internal/logservice/doc.go
@@ -1,4 +1,4 @@
-// Package platform is the client side of the two platform services that keep durable state: an append-only log with
+// Package logservice is the client side of the two platform services that keep durable state: an append-only log with
 // offsets, and a list of live and leaving hosts that lags behind. Both are reached over HTTP with JSON bodies.
 //
 //	POST /v1/log/records                    body: the record; answer {"offset":n}
@@ -7,4 +7,4 @@
 //
 // Errors that a caller decides on are typed: ErrUnknownOutcome, ErrUnavailable, ErrTooLarge, ErrExpired and
 // ErrRateLimited.
-package platform
+package logservice
--- a/internal/platform/fuzz_test.go
+++ b/internal/logservice/fuzz_test.go
@@ -1,4 +1,4 @@
-package platform
+package logservice
 
 import (
 	"errors"
--- a/internal/platform/standin/handler.go
+++ b/internal/logservice/standin/handler.go
@@ -10,7 +10,7 @@
 
 	"github.com/gorilla/mux"
 
-	"boragehinge.example/boragehinge/internal/platform"
+	"boragehinge.example/boragehinge/internal/logservice"
 )
 
 const maxWait = time.Minute
@@ -27,7 +27,7 @@
 }
 
 func (s *Server) serveAppend(w http.ResponseWriter, r *http.Request) {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platform.MaxRecordBytes))
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, logservice.MaxRecordBytes))
 	if err != nil {
 		w.WriteHeader(http.StatusRequestEntityTooLarge)
 		return
@@ -92,7 +92,7 @@
 
 func (s *Server) serveSetHosts(w http.ResponseWriter, r *http.Request) {
 	var list struct {
-		Hosts []platform.Host `json:"hosts"`
+		Hosts []logservice.Host `json:"hosts"`
 	}
 	if err := json.NewDecoder(r.Body).Decode(&list); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -103,15 +103,15 @@
 }
 
 func fail(w http.ResponseWriter, err error) {
-	var expired platform.ErrExpired
-	var limited platform.ErrRateLimited
+	var expired logservice.ErrExpired
+	var limited logservice.ErrRateLimited
 	switch {
 	case errors.As(err, &expired):
 		answer(w, http.StatusGone, map[string]int64{"oldest": expired.Oldest})
 	case errors.As(err, &limited):
 		w.Header().Set("Retry-After", strconv.FormatFloat(limited.RetryAfter.Seconds(), 'f', 3, 64))
 		w.WriteHeader(http.StatusTooManyRequests)
-	case errors.Is(err, platform.ErrUnknownOutcome):
+	case errors.Is(err, logservice.ErrUnknownOutcome):
 		// Closes the connection without an answer.
 		panic(http.ErrAbortHandler)
 	default:
--- a/internal/platform/standin/server.go
+++ b/internal/logservice/standin/server.go
@@ -8,7 +8,8 @@
 
 	"golang.org/x/time/rate"
 
-	"boragehinge.example/boragehinge/internal/platform"
+	"boragehinge.example/boragehinge/internal/logservice"
+	"boragehinge.example/boragehinge/internal/pause"
 )
 
 // DefaultAppendsPerSecond is the append rate limit unless the faults set another one.
@@ -31,8 +32,8 @@
 	// HostsLagMs serves the host list as it was that long ago.
 	HostsLagMs int64 `json:"hostsLagMs"`
 	// GhostHosts are listed although they are gone. HiddenHosts are the names of hosts that are missing on the list.
-	GhostHosts  []platform.Host `json:"ghostHosts,omitempty"`
-	HiddenHosts []string        `json:"hiddenHosts,omitempty"`
+	GhostHosts  []logservice.Host `json:"ghostHosts,omitempty"`
+	HiddenHosts []string          `json:"hiddenHosts,omitempty"`
 	// AppendsPerSecond limits appends, with bursts of a tenth of a second; 0 is DefaultAppendsPerSecond, -1 unlimited.
 	AppendsPerSecond float64 `json:"appendsPerSecond"`
 }
@@ -44,7 +45,7 @@
 
 type hostsAt struct {
 	at    time.Time
-	hosts []platform.Host
+	hosts []logservice.Host
 }
 
 // Server is the stand-in. It is safe for concurrent use.
@@ -54,7 +55,7 @@
 	mu       sync.Mutex
 	faults   Faults
 	limiter  *rate.Limiter
-	entries  []platform.Entry
+	entries  []logservice.Entry
 	next     int64
 	changed  chan struct{} // closed when an entry is added or a fault is switched
 	hosts    []hostsAt
@@ -62,8 +63,8 @@
 }
 
 var (
-	_ platform.Log      = (*Server)(nil)
-	_ platform.HostList = (*Server)(nil)
+	_ logservice.Log      = (*Server)(nil)
+	_ logservice.HostList = (*Server)(nil)
 )
 
 // New returns a stand-in that stamps records with now; nil is the system clock.
@@ -107,7 +108,7 @@
 }
 
 // SetHosts sets the true list of hosts.
-func (s *Server) SetHosts(hosts []platform.Host) {
+func (s *Server) SetHosts(hosts []logservice.Host) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.hosts = append(s.hosts, hostsAt{at: s.now(), hosts: slices.Clone(hosts)})
@@ -117,36 +118,36 @@
 	}
 }
 
-// Append implements platform.Log.
+// Append implements logservice.Log.
 func (s *Server) Append(ctx context.Context, data []byte) (int64, error) {
-	if len(data) > platform.MaxRecordBytes {
-		return 0, platform.ErrTooLarge
+	if len(data) > logservice.MaxRecordBytes {
+		return 0, logservice.ErrTooLarge
 	}
 	if err := s.delay(ctx); err != nil {
-		return 0, platform.ErrUnavailable
+		return 0, logservice.ErrUnavailable
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.counters.Appends++
 	if s.faults.LogOutage {
-		return 0, platform.ErrUnavailable
+		return 0, logservice.ErrUnavailable
 	}
 	if now := s.now(); !s.limiter.AllowN(now, 1) {
 		s.counters.RateLimited++
-		return 0, platform.ErrRateLimited{RetryAfter: 100 * time.Millisecond}
+		return 0, logservice.ErrRateLimited{RetryAfter: 100 * time.Millisecond}
 	}
 	if take(&s.faults.LoseAppends) {
-		return 0, platform.ErrUnknownOutcome
+		return 0, logservice.ErrUnknownOutcome
 	}
 	offset := s.next
 	s.next++
 	// Records carry milliseconds on the wire, so that readers over HTTP and from Go see the same stamp.
 	stamp := s.now().UTC().Truncate(time.Millisecond)
-	s.entries = append(s.entries, platform.Entry{Offset: offset, Time: stamp, Data: slices.Clone(data)})
+	s.entries = append(s.entries, logservice.Entry{Offset: offset, Time: stamp, Data: slices.Clone(data)})
 	s.expire()
 	s.wake()
 	if take(&s.faults.LoseAnswers) {
-		return 0, platform.ErrUnknownOutcome
+		return 0, logservice.ErrUnknownOutcome
 	}
 	return offset, nil
 }
@@ -160,10 +161,10 @@
 	return *n < 0
 }
 
-// Read implements platform.Log.
-func (s *Server) Read(ctx context.Context, from int64, maxEntries int, wait time.Duration) ([]platform.Entry, error) {
+// Read implements logservice.Log.
+func (s *Server) Read(ctx context.Context, from int64, maxEntries int, wait time.Duration) ([]logservice.Entry, error) {
 	if err := s.delay(ctx); err != nil {
-		return nil, platform.ErrUnavailable
+		return nil, logservice.ErrUnavailable
 	}
 	s.mu.Lock()
 	s.counters.Reads++
@@ -185,16 +186,16 @@
 	}
 }
 
-func (s *Server) readNow(from int64, maxEntries int) ([]platform.Entry, <-chan struct{}, error) {
+func (s *Server) readNow(from int64, maxEntries int) ([]logservice.Entry, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.faults.LogOutage {
-		return nil, nil, platform.ErrUnavailable
+		return nil, nil, logservice.ErrUnavailable
 	}
 	s.expire()
 	oldest := s.next - int64(len(s.entries))
 	if from < oldest {
-		return nil, nil, platform.ErrExpired{Oldest: oldest}
+		return nil, nil, logservice.ErrExpired{Oldest: oldest}
 	}
 	if from >= s.next {
 		return nil, s.changed, nil
@@ -221,24 +222,24 @@
 	s.entries = slices.Clone(s.entries[i:])
 }
 
-// Hosts implements platform.HostList.
-func (s *Server) Hosts(ctx context.Context) ([]platform.Host, error) {
+// Hosts implements logservice.HostList.
+func (s *Server) Hosts(ctx context.Context) ([]logservice.Host, error) {
 	if err := s.delay(ctx); err != nil {
-		return nil, platform.ErrUnavailable
+		return nil, logservice.ErrUnavailable
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.faults.HostsOutage {
-		return nil, platform.ErrUnavailable
+		return nil, logservice.ErrUnavailable
 	}
 	limit := s.now().Add(-time.Duration(s.faults.HostsLagMs) * time.Millisecond)
-	list := []platform.Host{}
+	list := []logservice.Host{}
 	for _, h := range s.hosts {
 		if !h.at.After(limit) {
 			list = slices.Clone(h.hosts)
 		}
 	}
-	list = slices.DeleteFunc(list, func(h platform.Host) bool { return slices.Contains(s.faults.HiddenHosts, h.Name) })
+	list = slices.DeleteFunc(list, func(h logservice.Host) bool { return slices.Contains(s.faults.HiddenHosts, h.Name) })
 	return append(list, s.faults.GhostHosts...), nil
 }
 
@@ -252,5 +253,5 @@
 	if ms <= 0 {
 		return ctx.Err()
 	}
-	return platform.Sleep(ctx, time.Duration(ms)*time.Millisecond)
+	return pause.Sleep(ctx, time.Duration(ms)*time.Millisecond)
 }
--- a/internal/platform/standin/standin_test.go
+++ b/internal/logservice/standin/standin_test.go
@@ -14,16 +14,16 @@
 
 	"github.com/stretchr/testify/require"
 
-	"boragehinge.example/boragehinge/internal/platform"
+	"boragehinge.example/boragehinge/internal/logservice"
 )
 
-func startHTTP(t *testing.T, s *Server) *platform.Client {
+func startHTTP(t *testing.T, s *Server) *logservice.Client {
 	t.Helper()
 	h := httptest.NewServer(s.Handler())
 	t.Cleanup(h.Close)
-	c, err := platform.NewClient(platform.ClientSettings{
+	c, err := logservice.NewClient(logservice.ClientSettings{
 		URL: h.URL, Timeout: 300 * time.Millisecond,
-		Backoff: platform.Backoff{Min: time.Millisecond, Max: 2 * time.Millisecond},
+		Backoff: logservice.Backoff{Min: time.Millisecond, Max: 2 * time.Millisecond},
 	})
 	require.NoError(t, err)
 	t.Cleanup(c.Close)
@@ -39,10 +39,10 @@
 		inLog  bool
 	}{
 		"none":        {Faults{}, nil, true},
-		"outage":      {Faults{LogOutage: true}, platform.ErrUnavailable, false},
-		"lost answer": {Faults{LoseAnswers: 1}, platform.ErrUnknownOutcome, true},
-		"lost append": {Faults{LoseAppends: 1}, platform.ErrUnknownOutcome, false},
-		"slow":        {Faults{DelayMs: 2000}, platform.ErrUnknownOutcome, false},
+		"outage":      {Faults{LogOutage: true}, logservice.ErrUnavailable, false},
+		"lost answer": {Faults{LoseAnswers: 1}, logservice.ErrUnknownOutcome, true},
+		"lost append": {Faults{LoseAppends: 1}, logservice.ErrUnknownOutcome, false},
+		"slow":        {Faults{DelayMs: 2000}, logservice.ErrUnknownOutcome, false},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -73,13 +73,13 @@
 		s.Handler().ServeHTTP(w, r)
 	}))
 	defer h.Close()
-	c, err := platform.NewClient(platform.ClientSettings{URL: h.URL})
+	c, err := logservice.NewClient(logservice.ClientSettings{URL: h.URL})
 	require.NoError(t, err)
 	defer c.Close()
 	_, err = c.Append(t.Context(), []byte("a"))
 	require.NoError(t, err)
 	_, err = c.Append(t.Context(), []byte("b"))
-	require.ErrorIs(t, err, platform.ErrUnknownOutcome)
+	require.ErrorIs(t, err, logservice.ErrUnknownOutcome)
 	require.Equal(t, int64(2), requests.Load())
 }
 
@@ -89,11 +89,11 @@
 	require.NoError(t, err)
 	address := l.Addr().String()
 	require.NoError(t, l.Close())
-	c, err := platform.NewClient(platform.ClientSettings{URL: "http://" + address})
+	c, err := logservice.NewClient(logservice.ClientSettings{URL: "http://" + address})
 	require.NoError(t, err)
 	_, err = c.Append(t.Context(), []byte("a"))
-	require.ErrorIs(t, err, platform.ErrUnavailable)
-	require.NotErrorIs(t, err, platform.ErrUnknownOutcome)
+	require.ErrorIs(t, err, logservice.ErrUnavailable)
+	require.NotErrorIs(t, err, logservice.ErrUnknownOutcome)
 }
 
 // Guards against a reader that takes expired records for an empty log, and against an oversized record.
@@ -106,11 +106,11 @@
 		require.NoError(t, err)
 	}
 	_, err := client.Read(t.Context(), 1, 10, 0)
-	var expired platform.ErrExpired
+	var expired logservice.ErrExpired
 	require.ErrorAs(t, err, &expired)
 	require.Equal(t, int64(4), expired.Oldest)
-	_, err = client.Append(t.Context(), make([]byte, platform.MaxRecordBytes+1))
-	require.ErrorIs(t, err, platform.ErrTooLarge)
+	_, err = client.Append(t.Context(), make([]byte, logservice.MaxRecordBytes+1))
+	require.ErrorIs(t, err, logservice.ErrTooLarge)
 }
 
 // Guards against a log without its rate limit: more than a tenth of a second's appends at one moment are refused.
@@ -121,7 +121,7 @@
 	refused := 0
 	for range 50 {
 		_, err := client.Append(t.Context(), []byte("x"))
-		var limited platform.ErrRateLimited
+		var limited logservice.ErrRateLimited
 		if err != nil {
 			require.ErrorAs(t, err, &limited)
 			require.Equal(t, 100*time.Millisecond, limited.RetryAfter)
@@ -153,24 +153,24 @@
 	now := time.Unix(1000, 0)
 	s := New(func() time.Time { return now })
 	client := startHTTP(t, s)
-	a := platform.Host{Name: "a", DataCentre: "d", Address: "127.0.0.1:1", State: platform.HostLive}
-	b := platform.Host{Name: "b", DataCentre: "d", Address: "127.0.0.1:2", State: platform.HostLeaving}
-	s.SetHosts([]platform.Host{a})
+	a := logservice.Host{Name: "a", DataCentre: "d", Address: "127.0.0.1:1", State: logservice.HostLive}
+	b := logservice.Host{Name: "b", DataCentre: "d", Address: "127.0.0.1:2", State: logservice.HostLeaving}
+	s.SetHosts([]logservice.Host{a})
 	now = now.Add(10 * time.Second)
-	s.SetHosts([]platform.Host{a, b})
-	list := func(f Faults) []platform.Host {
+	s.SetHosts([]logservice.Host{a, b})
+	list := func(f Faults) []logservice.Host {
 		s.SetFaults(f)
 		hosts, err := client.Hosts(t.Context())
 		require.NoError(t, err)
 		return hosts
 	}
-	require.Equal(t, []platform.Host{a, b}, list(Faults{}))
-	require.Equal(t, []platform.Host{a}, list(Faults{HostsLagMs: 5000}))
-	require.Equal(t, []platform.Host{b}, list(Faults{HiddenHosts: []string{"a"}}))
-	require.Equal(t, []platform.Host{a, b, a}, list(Faults{GhostHosts: []platform.Host{a}}))
+	require.Equal(t, []logservice.Host{a, b}, list(Faults{}))
+	require.Equal(t, []logservice.Host{a}, list(Faults{HostsLagMs: 5000}))
+	require.Equal(t, []logservice.Host{b}, list(Faults{HiddenHosts: []string{"a"}}))
+	require.Equal(t, []logservice.Host{a, b, a}, list(Faults{GhostHosts: []logservice.Host{a}}))
 	s.SetFaults(Faults{HostsOutage: true})
 	_, err := client.Hosts(t.Context())
-	require.ErrorIs(t, err, platform.ErrUnavailable)
+	require.ErrorIs(t, err, logservice.ErrUnavailable)
 }
 
 // Guards against switches that can't be set over HTTP, or that ignore a misspelt name.
@@ -197,7 +197,7 @@
 
 // Guards against clients that return together after an outage, and against a delay beyond the limit.
 func TestBackoff(t *testing.T) {
-	b := platform.Backoff{Min: 100 * time.Millisecond, Max: time.Second}
+	b := logservice.Backoff{Min: 100 * time.Millisecond, Max: time.Second}
 	for i := range 10 {
 		full := min(100*time.Millisecond<<i, time.Second)
 		d := b.Next()
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -16,6 +16,12 @@
 	}
 }
 
+// Sleep waits like For and returns the error of ctx if it has ended.
+func Sleep(ctx context.Context, d time.Duration) error {
+	For(ctx, d)
+	return ctx.Err()
+}
+
 // Every calls f with the time of each tick until ctx ends. A tick is left out while f still runs.
 func Every(ctx context.Context, interval time.Duration, f func(now time.Time)) {
 	ticker := time.NewTicker(interval)
--- a/internal/processtest/leaving_test.go
+++ b/internal/processtest/leaving_test.go
@@ -9,7 +9,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"boragehinge.example/boragehinge/internal/emulator"
-	"boragehinge.example/boragehinge/internal/platform/standin"
+	"boragehinge.example/boragehinge/internal/logservice/standin"
 )
 
 // leavingBound is the time after which a leaving data centre receives no new work.
--- a/internal/processtest/operators_test.go
+++ b/internal/processtest/operators_test.go
@@ -9,7 +9,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"boragehinge.example/boragehinge/internal/emulator"
-	"boragehinge.example/boragehinge/internal/platform/standin"
+	"boragehinge.example/boragehinge/internal/logservice/standin"
 )
 
 // Guards against two operators who change the same version at once and are both told that their change is in force, or
--- a/internal/processtest/outage_test.go
+++ b/internal/processtest/outage_test.go
@@ -13,7 +13,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"boragehinge.example/boragehinge/internal/emulator"
-	"boragehinge.example/boragehinge/internal/platform/standin"
+	"boragehinge.example/boragehinge/internal/logservice/standin"
 )
 
 // versions reads the configuration of all entries and notes each one that falls.
--- a/internal/processtest/process_test.go
+++ b/internal/processtest/process_test.go
@@ -19,8 +19,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"boragehinge.example/boragehinge/internal/logservice"
 	"boragehinge.example/boragehinge/internal/operators"
-	"boragehinge.example/boragehinge/internal/platform"
 )
 
 // daemonVariable names another build of the daemon, for example one with a mechanism switched off.
@@ -70,8 +70,8 @@
 	return h
 }
 
-func (h host) listed() platform.Host {
-	return platform.Host{Name: h.name, DataCentre: h.dc, Address: h.peers, State: platform.HostLive}
+func (h host) listed() logservice.Host {
+	return logservice.Host{Name: h.name, DataCentre: h.dc, Address: h.peers, State: logservice.HostLive}
 }
 
 // process is an entry that runs, or ran, on a host.
--- a/internal/processtest/replace_test.go
+++ b/internal/processtest/replace_test.go
@@ -9,7 +9,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"boragehinge.example/boragehinge/internal/emulator"
-	"boragehinge.example/boragehinge/internal/platform/standin"
+	"boragehinge.example/boragehinge/internal/logservice/standin"
 )
 
 // Guards against a host that is replaced under the same name and address and stays out, or is taken for its predecessor,
--- a/internal/processtest/world_test.go
+++ b/internal/processtest/world_test.go
@@ -21,8 +21,8 @@
 
 	"boragehinge.example/boragehinge/internal/configlog"
 	"boragehinge.example/boragehinge/internal/emulator"
-	"boragehinge.example/boragehinge/internal/platform"
-	"boragehinge.example/boragehinge/internal/platform/standin"
+	"boragehinge.example/boragehinge/internal/logservice"
+	"boragehinge.example/boragehinge/internal/logservice/standin"
 	"boragehinge.example/boragehinge/inventory"
 )
 
@@ -106,7 +106,7 @@
 func (w *world) listHosts(gone ...*process) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	var hosts []platform.Host
+	var hosts []logservice.Host
 	for _, p := range w.processes {
 		if p.running() {
 			hosts = append(hosts, p.listed())
--- a/internal/rollout/experiment_test.go
+++ b/internal/rollout/experiment_test.go
@@ -16,7 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"boragehinge.example/boragehinge/internal/configlog"
-	"boragehinge.example/boragehinge/internal/platform"
+	"boragehinge.example/boragehinge/internal/logservice"
 )
 
 var start = time.Date(2026, 3, 2, 8, 0, 0, 0, time.UTC)
@@ -92,7 +92,7 @@
 	if err != nil {
 		panic(err)
 	}
-	s.fold.Apply(platform.Entry{Offset: s.fold.Next(), Time: s.now, Data: data})
+	s.fold.Apply(logservice.Entry{Offset: s.fold.Next(), Time: s.now, Data: data})
 }
 
 func inventory(by time.Time, name string) json.RawMessage {
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -17,7 +17,7 @@
 	"boragehinge.example/boragehinge/client"
 	"boragehinge.example/boragehinge/internal/dev"
 	"boragehinge.example/boragehinge/internal/emulator"
-	"boragehinge.example/boragehinge/internal/platform"
+	"boragehinge.example/boragehinge/internal/pause"
 )
 
 const (
@@ -67,7 +67,7 @@
 	for n := 1; ; n++ {
 		if burst > 0 {
 			burst--
-		} else if platform.Sleep(ctx, time.Duration(rng.ExpFloat64()/rate*float64(time.Second))) != nil {
+		} else if pause.Sleep(ctx, time.Duration(rng.ExpFloat64()/rate*float64(time.Second))) != nil {
 			break
 		}
 		if burst == 0 && rng.IntN(burstEvery) == 0 {
--- a/internal/soak/centres.go
+++ b/internal/soak/centres.go
@@ -8,7 +8,7 @@
 	"boragehinge.example/boragehinge/internal/dev"
 	"boragehinge.example/boragehinge/internal/emulator"
 	"boragehinge.example/boragehinge/internal/operators"
-	"boragehinge.example/boragehinge/internal/platform"
+	"boragehinge.example/boragehinge/internal/pause"
 	"boragehinge.example/boragehinge/internal/rollout"
 )
 
@@ -42,7 +42,7 @@
 	if leave.Begin.IsZero() {
 		leave.Begin = time.Now()
 	}
-	_ = platform.Sleep(ctx, f.For)
+	pause.For(ctx, f.For)
 	leave.End = time.Now()
 	j.rec.add(func(r *Records) { r.Leaves = append(r.Leaves, leave) })
 	// The return is made also at the end of the run, so that nothing stays away.
@@ -108,7 +108,7 @@
 	for _, name := range move.Upstreams {
 		j.apply(name, func(*emulator.Faults) {})
 	}
-	for time.Since(move.Begin) < f.For && platform.Sleep(ctx, 4*pollInterval) == nil {
+	for time.Since(move.Begin) < f.For && pause.Sleep(ctx, 4*pollInterval) == nil {
 		if f.Kind == BadVersion && move.Faulty.IsZero() && time.Since(move.Begin) >= faultsAfter {
 			move.Faulty = time.Now()
 			for _, name := range move.Upstreams {
@@ -141,7 +141,7 @@
 func follow(ctx context.Context, in *dev.Installation, rec *recorder) {
 	last := map[string]int64{}
 	present := map[string]*Presence{}
-	for platform.Sleep(ctx, pollInterval) == nil {
+	for pause.Sleep(ctx, pollInterval) == nil {
 		for _, e := range in.List() {
 			run := e.Incarnation()
 			snapshot := e.Snapshot()
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -10,8 +10,9 @@
 
 	"boragehinge.example/boragehinge/internal/dev"
 	"boragehinge.example/boragehinge/internal/emulator"
-	"boragehinge.example/boragehinge/internal/platform"
-	"boragehinge.example/boragehinge/internal/platform/standin"
+	"boragehinge.example/boragehinge/internal/logservice"
+	"boragehinge.example/boragehinge/internal/logservice/standin"
+	"boragehinge.example/boragehinge/internal/pause"
 )
 
 // baseSlow is the factor on all service times, so that a moderate rate keeps a third of the slots busy. With idle slots
@@ -42,7 +43,7 @@
 	}
 	begin := time.Now()
 	for _, f := range plan {
-		if platform.Sleep(ctx, time.Until(begin.Add(f.At))) != nil {
+		if pause.Sleep(ctx, time.Until(begin.Add(f.At))) != nil {
 			break
 		}
 		j.wait.Go(func() { j.inject(ctx, f) })
@@ -98,25 +99,25 @@
 	switch f.Kind {
 	case Crash:
 		s.Crash(f.For)
-		_ = platform.Sleep(ctx, f.For)
+		pause.For(ctx, f.For)
 	case Cold:
 		s.MakeCold()
-		_ = platform.Sleep(ctx, f.For)
+		pause.For(ctx, f.For)
 	case Silence:
 		j.mu.Lock()
 		faults := s.Faults()
 		faults.SilenceOpen = true
 		_ = s.SetFaults(faults)
 		j.mu.Unlock()
-		_ = platform.Sleep(ctx, f.For)
+		pause.For(ctx, f.For)
 	default:
 		defer j.apply(name, switches(f.Kind))()
 		if f.Kind != Drain {
-			_ = platform.Sleep(ctx, f.For)
+			pause.For(ctx, f.For)
 			return
 		}
 		begin := time.Now()
-		_ = platform.Sleep(ctx, f.For)
+		pause.For(ctx, f.For)
 		j.rec.add(func(r *Records) {
 			r.Leaves = append(r.Leaves, Leave{What: name + ", which drains", Upstreams: []string{name}, Begin: begin, End: time.Now()})
 		})
@@ -194,14 +195,14 @@
 		LogSlow:    {DelayMs: 400},
 		LogLoses:   {LoseAnswers: 3},
 		HostsLag:   {HostsLagMs: 5000},
-		GhostHosts: {GhostHosts: []platform.Host{{Name: "entry-99", DataCentre: "e-1", Address: "127.0.0.1:1", State: platform.HostLive}}},
+		GhostHosts: {GhostHosts: []logservice.Host{{Name: "entry-99", DataCentre: "e-1", Address: "127.0.0.1:1", State: logservice.HostLive}}},
 	}[f.Kind]
 	defer j.rec.begin(f.Kind, "")()
 	j.in.Platform.SetFaults(faults)
 	if f.Kind == LogLoses {
 		j.failed(ctx, f.Kind, j.ops.change(ctx, func(d *desired) { d.weight++ }))
 	}
-	_ = platform.Sleep(ctx, f.For)
+	pause.For(ctx, f.For)
 	j.in.Platform.SetFaults(standin.Faults{})
 }
 
@@ -228,9 +229,9 @@
 		j.rec.add(func(r *Records) { r.Stops = append(r.Stops, stop) })
 	}
 	j.links.of(e.Host).end()
-	_ = platform.Sleep(ctx, f.For/2)
+	pause.For(ctx, f.For/2)
 	_, err := j.in.ReplaceEntry(i)
 	j.failed(ctx, f.Kind, err)
-	_ = platform.Sleep(ctx, 3*time.Second) // the replacement joins
+	pause.For(ctx, 3*time.Second) // the replacement joins
 	end()
 }
--- a/internal/soak/links.go
+++ b/internal/soak/links.go
@@ -6,7 +6,7 @@
 	"net"
 	"sync"
 
-	"boragehinge.example/boragehinge/internal/platform"
+	"boragehinge.example/boragehinge/internal/pause"
 )
 
 // links are the paths to the peers' ports, by host. It is safe for concurrent use.
@@ -129,6 +129,6 @@
 	defer j.rec.begin(LinkCut, host)()
 	p := j.links.of(host)
 	p.cut(true)
-	_ = platform.Sleep(ctx, f.For)
+	pause.For(ctx, f.For)
 	p.cut(false)
 }
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -10,8 +10,9 @@
 	"time"
 
 	"boragehinge.example/boragehinge/internal/configlog"
+	"boragehinge.example/boragehinge/internal/logservice"
 	"boragehinge.example/boragehinge/internal/model"
-	"boragehinge.example/boragehinge/internal/platform"
+	"boragehinge.example/boragehinge/internal/pause"
 	"boragehinge.example/boragehinge/inventory"
 )
 
@@ -172,7 +173,7 @@
 type operation struct {
 	mu   sync.Mutex
 	want desired
-	log  platform.Log
+	log  logservice.Log
 	rec  *recorder
 }
 
@@ -208,7 +209,7 @@
 		if errors.As(err, &bad) {
 			return false, err
 		}
-		if err := platform.Sleep(ctx, 100*time.Millisecond); err != nil {
+		if err := pause.Sleep(ctx, 100*time.Millisecond); err != nil {
 			return false, err
 		}
 	}
