--- a/internal/coordinator/slow.go
+++ b/internal/coordinator/slow.go
@@ -3,12 +3,12 @@
 import "time"
 
 const (
-	// toleratedLateness is the delay of a tick that a healthy host shows.
+	// toleratedLateness is the delay up to which a tick counts as in time.
 	toleratedLateness = tickInterval
 	// latenessSpan is the time over which the delays of ticks are summed up.
 	latenessSpan = time.Second
-	// starvedLateness is the sum of delays from which on a leader is short of processor. A leader on a healthy host stays below
-	// 0.05 s, also in a burst; one whose host was slowed down five times reached 0.2 s within 1 s.
+	// starvedLateness is the sum of delays from which on a leader is short of processor, several times what a healthy host shows in
+	// a burst. Grants that are so late miss the shorter objectives.
 	starvedLateness = 200 * time.Millisecond
 	// slowMemory is how long an entry that was short of processor lets others lead.
 	slowMemory = 10 * time.Second
@@ -33,8 +33,8 @@
 	return m.sum
 }
 
-// tick lets time pass for the pools, and ends the leadership when this entry is short of processor: its answers would be late for
-// all entries, while those find no other leader as long as they hear of it.
+// tick lets time pass for the pools, and ends the leadership when this entry is short of processor. Its grants would come late for
+// all entries, which keep a leader as long as they hear from it.
 func (l *leadership) tick(now time.Time, late time.Duration) {
 	l.coordinator.Tick(now)
 	l.node.o.Metrics.tickDelay.Set(late.Seconds())
