--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -33,15 +33,15 @@
 	// upstreamWait is short, because these reads also show that the store is lost.
 	upstreamWait = 200 * time.Millisecond
 	// orderWait bounds what a read costs that hangs or is not woken: with the store's timeout and retryPause a configuration is
-	// read 2 s after it was written, within the users' bound of 2.5 s.
-	orderWait = 1200 * time.Millisecond
+	// read 1.75 s after it was written, within the shortest of the users' bounds, 2 s.
+	orderWait = time.Second
 	// rareWait holds for statuses and entries, which change a few times a day and mostly by this system itself.
 	rareWait   = 15 * time.Second
 	retryPause = 250 * time.Millisecond
 	// maxOutageWait bounds the wait for the heartbeat reads to succeed.
 	maxOutageWait = 2 * time.Second
-	// lapseTime is how long after the end of an outage missing records may still come back. The users' upstreams are back within
-	// about two seconds, and one that leaves right after the outage must get nothing 2.5 s later.
+	// lapseTime is how long after the end of an outage missing records may still come back: the users' upstreams that live are back
+	// within about two seconds, and the others count as gone after that.
 	lapseTime = 2200 * time.Millisecond
 )
 
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -172,7 +172,7 @@
 // Guards against a configuration that is late because one long poll hangs, or is not woken (killed-after-acting on hokusei-gw-grown:
 // in one play all entries had the old configuration until a long poll of 3 s ended, 2.85 s after the new one was written).
 func TestALongPollThatHangsDelaysOrdersLittle(t *testing.T) {
-	const configApply = 2500 * time.Millisecond
+	const configApply = 2 * time.Second // the shorter one of the users' bounds
 	for offset := time.Duration(0); offset < 4*time.Second; offset += 170 * time.Millisecond {
 		run(t, func(s *fakeStore, deliveries func() []delivery) {
 			written := time.Now().Add(5*time.Second + offset)
--- a/internal/feed/outage_test.go
+++ b/internal/feed/outage_test.go
@@ -25,7 +25,7 @@
 // Guards against a time for lapsed records that begins anew with each record that is missing: an upstream that leaves some time after
 // the outage was kept for as long as one that lapsed in it.
 func TestLapsedRecordsMayComeBackForATimeAfterTheOutage(t *testing.T) {
-	const drain = 2500 * time.Millisecond // the users' bound for an upstream that leaves
+	const drain = 2500 * time.Millisecond // the users' bound on the grown sites for an upstream that leaves
 	var o outage
 	back := time.Now()
 	o.failed(back.Add(-time.Second))
