Decide in one place when a leader gives way

Review of the whole change. giveWayToLarger, canHandOver and chooseNamed each went through the followers that aren't about to stop, and the first two compared hosts by the same factor from both sides, in three files. They share staying and muchLarger now, and stand in giveway.go (slow.go before).

--- a/internal/coordinator/announce.go
+++ b/internal/coordinator/announce.go
@@ -7,13 +7,9 @@
 	"boragehinge.example/boragehinge/internal/gateway"
 )
 
-const (
-	// announcePause lies between two writes of entries' records. The first write waits as long, so that it holds most of the
-	// followers of a new leader.
-	announcePause = time.Second
-	// largerHost is the processor share of a follower, relative to the leader's, from which on the leader gives way to it.
-	largerHost = 1.5
-)
+// announcePause lies between two writes of entries' records. The first write waits as long, so that it holds most of the
+// followers of a new leader.
+const announcePause = time.Second
 
 // announcer writes the records by which entries find each other. The leader writes those of all its followers in one call.
 // It belongs to the goroutine of tickSlowly.
@@ -63,18 +59,3 @@
 	}
 	return missing
 }
-
-// largerFollower returns a follower on a much larger host, which should lead instead.
-func (l *leadership) largerFollower(now time.Time) (gateway.Entry, bool) {
-	if now.Sub(l.since) < newLeaderTime {
-		return gateway.Entry{}, false
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for f := range l.followers {
-		if !f.hello.Leaving && f.entry.CPUShare >= largerHost*l.node.o.Self.CPUShare && l.node.o.Self.CPUShare > 0 {
-			return f.entry, true
-		}
-	}
-	return gateway.Entry{}, false
-}
--- a/internal/coordinator/followers.go
+++ b/internal/coordinator/followers.go
@@ -110,6 +110,17 @@
 	return out
 }
 
+// staying returns the entries of the followers that aren't about to stop. The caller holds l.mu.
+func (l *leadership) staying() []gateway.Entry {
+	out := make([]gateway.Entry, 0, len(l.followers))
+	for f := range l.followers {
+		if !f.hello.Leaving {
+			out = append(out, f.entry)
+		}
+	}
+	return out
+}
+
 func (l *leadership) peerAddresses() []string {
 	out := peersOf(l.followerEntries())
 	slices.Sort(out)
--- a/internal/coordinator/slow.go
+++ b/internal/coordinator/giveway.go
@@ -1,8 +1,15 @@
 package coordinator
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"boragehinge.example/boragehinge/internal/gateway"
+)
 
 const (
+	// largerHost is the processor share of a follower, relative to the leader's, from which on the leader gives way to it.
+	largerHost = 1.5
 	// toleratedLateness is the delay up to which a tick counts as in time.
 	toleratedLateness = tickInterval
 	// latenessSpan is the time over which the delays of ticks are summed up.
@@ -50,17 +57,30 @@
 func (l *leadership) canHandOver() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.stopping {
-		return false
+	return !l.stopping && slices.ContainsFunc(l.staying(), func(e gateway.Entry) bool { return !muchLarger(l.node.o.Self, e) })
+}
+
+// giveWayToLarger ends the leadership when a much larger host follows.
+func (l *leadership) giveWayToLarger(now time.Time) {
+	self := l.node.o.Self
+	if now.Sub(l.since) < newLeaderTime || self.CPUShare <= 0 {
+		return
 	}
-	for f := range l.followers {
-		if !f.hello.Leaving && f.entry.CPUShare*largerHost > l.node.o.Self.CPUShare {
-			return true
-		}
+	l.mu.Lock()
+	staying := l.staying()
+	l.mu.Unlock()
+	i := slices.IndexFunc(staying, func(e gateway.Entry) bool { return muchLarger(e, self) })
+	if i < 0 {
+		return
 	}
-	return false
+	larger := staying[i]
+	l.log.Info().Str("event", "leadership").Str("larger", larger.Name).Float64("cpu_share", larger.CPUShare).Msg("gives way")
+	l.stop()
 }
 
+// muchLarger reports whether a leader on the host of b gives way to a.
+func muchLarger(a, b gateway.Entry) bool { return a.CPUShare >= largerHost*b.CPUShare }
+
 // noteSlow remembers that this entry was short of processor.
 func (n *Node) noteSlow(now time.Time) {
 	n.mu.Lock()
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -191,16 +191,6 @@
 	})
 }
 
-// giveWayToLarger ends the leadership when a much larger host follows.
-func (l *leadership) giveWayToLarger(now time.Time) {
-	e, ok := l.largerFollower(now)
-	if !ok {
-		return
-	}
-	l.log.Info().Str("event", "leadership").Str("larger", e.Name).Float64("cpu_share", e.CPUShare).Msg("gives way")
-	l.stop()
-}
-
 // minorityTime is how long a leader without most of the known entries reckons with another leader. After that the others
 // count as gone.
 const minorityTime = 20 * time.Second
--- a/internal/coordinator/roster.go
+++ b/internal/coordinator/roster.go
@@ -107,10 +107,8 @@
 	byDataCentre := map[string][]candidate{}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for f := range l.followers {
-		if !f.hello.Leaving {
-			byDataCentre[f.entry.DataCentre] = append(byDataCentre[f.entry.DataCentre], candidate{f.entry, f.entry.CPUShare})
-		}
+	for _, e := range l.staying() {
+		byDataCentre[e.DataCentre] = append(byDataCentre[e.DataCentre], candidate{e, e.CPUShare})
 	}
 	if self := l.node.o.Self; !l.stopping {
 		byDataCentre[self.DataCentre] = append(byDataCentre[self.DataCentre], candidate{self, self.CPUShare * leaderShare})
