Use the second slot of upstreams with two slots

Cause: an upstream is filled to 0.8 of its slots, because requests that start above that take longer. At two slots that leaves one of them empty, also under overload, although two slow requests complete more work than one fast one (2/1.7 = 1.18).

The slowdown of a request that starts on a full upstream is learned from latencies, enters the prediction, and is kept apart from the service time of the route. Nothing changes for three slots and more.

Ruled out: probes that are too old (reports were fresh, 0.03 of the grants had a pace above 1.2).

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -26,7 +26,7 @@
 }
 
 func (p *Pool) eligible(now time.Time, c *call, u *upstream) bool {
-	if !u.usable(now, p.spec.AllowUnprobed) || !u.free(p.spec.MaxInFlight) || slices.Contains(c.ask.Exclude, u.spec.ID) {
+	if !u.usable(now, p.spec.AllowUnprobed) || !u.free(&p.occupancy) || slices.Contains(c.ask.Exclude, u.spec.ID) {
 		return false
 	}
 	if !p.move.admits(u.spec.Version) {
@@ -40,7 +40,12 @@
 }
 
 func (p *Pool) predict(now time.Time, c *call, u *upstream) time.Duration {
-	return time.Duration(float64(p.serviceTime(c)) * u.slowdown(now, p.averagePace))
+	return time.Duration(float64(p.serviceTime(c)) * p.startSlowdown(now, u))
+}
+
+// startSlowdown is the factor by which a request that starts on u now is expected to take longer than usual.
+func (p *Pool) startSlowdown(now time.Time, u *upstream) float64 {
+	return u.slowdown(now, p.averagePace) * p.occupancy.slowdown(u.spec.Slots, u.occupied())
 }
 
 // choose returns the upstream on which to start the call now, or nil if the call should wait.
--- a/internal/placement/hedge.go
+++ b/internal/placement/hedge.go
@@ -29,7 +29,7 @@
 	for _, c := range u.running {
 		if !c.paceProbed {
 			c.paceProbed = true
-			c.pace = max(c.pace, u.expectedPace(now))
+			c.pace = max(c.pace, u.expectedPace(now)*c.full)
 		}
 		if c.ask.MayHedge && !c.hedged && p.willBeLate(now, c) {
 			p.hedge(now, c)
--- a/internal/placement/load_test.go
+++ b/internal/placement/load_test.go
@@ -26,6 +26,8 @@
 	objective time.Duration
 	deadline  time.Duration
 	slots     int
+	noise     noise
+	full      float64 // slowdown of calls that start above 0.8 of the slots
 	hedging   bool
 	hedges    int
 	shed      map[string]float64 // rate at which an upstream refuses requests, whatever its load
@@ -34,6 +36,12 @@
 	next      uint64
 }
 
+// noise slows each upstream down by a factor in a share of the periods, chosen at random.
+type noise struct {
+	share, factor float64
+	period        time.Duration
+}
+
 // simCall is a request and its attempts.
 type simCall struct {
 	arrived  time.Time
@@ -70,7 +78,12 @@
 var epoch = time.Unix(1_700_000_000, 0)
 
 func newSimulation(upstreams, slots int) *simulation {
+	return newNoisySimulation(upstreams, slots, noise{0.35, 4, 300 * time.Millisecond})
+}
+
+func newNoisySimulation(upstreams, slots int, n noise) *simulation {
 	s := &simulation{
+		noise: n, full: 1.7,
 		rng: rand.New(rand.NewPCG(1, 2)), now: epoch, pace: map[string]float64{}, running: map[string]int{}, calls: map[uint64]*simCall{},
 		shed: map[string]float64{}, base: 95 * time.Millisecond, objective: 250 * time.Millisecond, deadline: 1200 * time.Millisecond, slots: slots,
 	}
@@ -101,12 +114,11 @@
 	s.at(d, again)
 }
 
-// simulateNoisyNeighbours slows an upstream down by a factor of 4 in 35 % of the periods of 300 ms, chosen at random.
 func (s *simulation) simulateNoisyNeighbours(id string) {
-	s.every(300*time.Millisecond, func() {
+	s.every(s.noise.period, func() {
 		s.pace[id] = 1
-		if s.rng.Float64() < 0.35 {
-			s.pace[id] = 4
+		if s.rng.Float64() < s.noise.share {
+			s.pace[id] = s.noise.factor
 		}
 	})
 }
@@ -159,7 +171,7 @@
 	s.running[g.Upstream]++
 	saturation := 1.0
 	if float64(s.running[g.Upstream]) > 0.8*float64(s.slots) {
-		saturation = 1.7
+		saturation = s.full
 	}
 	work := float64(s.base) * (0.7 + 0.6*s.rng.Float64()) * s.pace[g.Upstream] * saturation
 	end := func(o Outcome) {
--- a/internal/placement/move.go
+++ b/internal/placement/move.go
@@ -146,9 +146,9 @@
 			continue
 		}
 		if u.spec.Version == version {
-			own += float64(u.slots(p.spec.MaxInFlight))
+			own += p.occupancy.throughput(u.spec.Slots)
 		} else {
-			others += float64(u.slots(p.spec.MaxInFlight))
+			others += p.occupancy.throughput(u.spec.Slots)
 		}
 	}
 	return own > 0 && (own >= minCapacityRatio*others || own*dependableSlotShare >= p.averageRunning)
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -50,6 +50,7 @@
 	move            moveState
 	crashes         map[uint64]crashHistory
 	slots           slotCount
+	occupancy       occupancy
 	averageRunning  float64   // moving average of the number of running calls
 	lastSpareAt     time.Time // last time at which slots were free beyond the reserve
 	// averagePace is the moving average of the pace that upstreams report in probes.
@@ -61,7 +62,7 @@
 func New(rng *rand.Rand) *Pool {
 	return &Pool{
 		rng: rng, upstreams: map[string]*upstream{}, calls: map[uint64]*call{}, base: map[string]time.Duration{}, crashes: map[uint64]crashHistory{},
-		averagePace: 1,
+		averagePace: 1, occupancy: newOccupancy(),
 	}
 }
 
@@ -73,6 +74,7 @@
 		p.clearColdTokens(now)
 	}
 	p.spec = spec
+	p.occupancy.maxInFlight = spec.MaxInFlight
 	seen := make(map[string]bool, len(spec.Upstreams))
 	for _, s := range spec.Upstreams {
 		seen[s.ID] = true
@@ -147,7 +149,8 @@
 }
 
 func (p *Pool) grant(now time.Time, c *call, u *upstream) {
-	c.target, c.started, c.pace, c.cold = u, now, u.expectedPace(now), u.cold(now)
+	c.full = p.occupancy.slowdown(u.spec.Slots, u.occupied())
+	c.target, c.started, c.pace, c.cold = u, now, u.expectedPace(now)*c.full, u.cold(now)
 	c.predicted = p.predict(now, c, u)
 	if c.cold {
 		u.coldTokens--
@@ -193,7 +196,7 @@
 	}
 	delete(p.calls, e.Ask)
 	delete(c.target.running, e.Ask)
-	if c.target.observeEnd(now, c, e, p.serviceTime(c)) {
+	if typical := c.target.observeEnd(now, c, e, p.serviceTime(c)); typical {
 		p.updateServiceTime(c, e.Latency)
 	}
 	if p.spec.AllowUnprobed && !c.target.reachable {
@@ -206,9 +209,16 @@
 	return p.decisions
 }
 
-// updateServiceTime moves the estimate towards the median latency, which is robust against slow upstreams.
+// updateServiceTime moves the estimate towards the median latency, which is robust against slow upstreams. A call that started
+// on a full upstream tells by how much such calls are slowed down instead.
 func (p *Pool) updateServiceTime(c *call, latency time.Duration) {
 	base := p.base[c.ask.Route]
+	if c.full > 1 {
+		if base > 0 {
+			p.occupancy.observe(latency, base)
+		}
+		return
+	}
 	switch {
 	case base == 0:
 		base = latency
@@ -286,7 +296,7 @@
 	if u == nil || p.calls[a.ID] != nil {
 		return
 	}
-	c := &call{ask: a, target: u, started: now, queuedAt: now, pace: u.expectedPace(now), adopted: true}
+	c := &call{ask: a, target: u, started: now, queuedAt: now, pace: u.expectedPace(now), full: 1, adopted: true}
 	u.running[a.ID] = c
 	p.calls[a.ID] = c
 }
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -51,15 +51,15 @@
 	for level := range priorityLevel(c) + 1 {
 		work += p.work[level]
 	}
-	return time.Duration(float64(work) * assumedSlowdown / float64(p.capacity(now)))
+	return time.Duration(float64(work) * assumedSlowdown / p.capacity(now))
 }
 
 // slotCount is a cached count of slots. It is cached because counting visits every upstream.
 type slotCount struct {
 	at       time.Time
-	capacity int // slots of all reachable upstreams that aren't closed, up to maxOccupancy
-	usable   int // slots of those upstreams that may get requests now
-	free     int // unoccupied slots among usable
+	capacity float64 // throughput of all reachable upstreams that aren't closed, in concurrent requests
+	usable   int     // slots of those upstreams that may get requests now
+	free     int     // unoccupied slots among usable
 }
 
 // slotCountMaxAge is the age at which a cached slotCount expires.
@@ -79,11 +79,11 @@
 		if u.spec.Closed || !u.reachable {
 			continue
 		}
-		n := u.slots(p.spec.MaxInFlight)
-		count.capacity += n
+		n := p.occupancy.limit(u.spec.Slots)
+		count.capacity += p.occupancy.throughput(u.spec.Slots)
 		if u.usable(now, p.spec.AllowUnprobed) && p.move.allows(u.spec.Version) {
 			count.usable += n
-			count.free += max(0, n-len(u.running)-u.externalCalls)
+			count.free += max(0, n-u.occupied())
 		}
 	}
 	p.slots = count
@@ -95,8 +95,8 @@
 // spare reports whether slots are free beyond the reserve for calls that can meet their objective.
 func (s *slotCount) spare() bool { return float64(s.free) > lateReserve*float64(s.usable) }
 
-// capacity is the number of requests that the upstreams can run concurrently without slowing down.
-func (p *Pool) capacity(now time.Time) int { return max(1, p.countSlots(now).capacity) }
+// capacity is the throughput of the upstreams, as the number of requests that run concurrently without slowing down.
+func (p *Pool) capacity(now time.Time) float64 { return max(1, p.countSlots(now).capacity) }
 
 // canQueue reports whether the call may be queued: it is expected to meet its deadline and, if it will miss its objective, the
 // limit of late work is not reached.
@@ -116,7 +116,7 @@
 	if p.overloaded(now) {
 		return 0
 	}
-	return time.Duration(p.capacity(now)) * maxLateWorkPerSlot
+	return time.Duration(p.capacity(now) * float64(maxLateWorkPerSlot))
 }
 
 // overloaded reports whether there has been no spare slot for overloadDelay.
@@ -214,10 +214,10 @@
 }
 
 func (r *headroom) add(now time.Time, p *Pool, u *upstream) {
-	if !u.free(p.spec.MaxInFlight) || !u.usable(now, p.spec.AllowUnprobed) || !p.move.admits(u.spec.Version) {
+	if !u.free(&p.occupancy) || !u.usable(now, p.spec.AllowUnprobed) || !p.move.admits(u.spec.Version) {
 		return
 	}
-	if s := u.slowdown(now, p.averagePace); !r.free || s < r.slowdown {
+	if s := p.startSlowdown(now, u); !r.free || s < r.slowdown {
 		r.slowdown, r.free = s, true
 	}
 }
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -6,9 +6,6 @@
 )
 
 const (
-	// maxOccupancy is the fraction of occupied slots above which upstreams slow down. A further request would cost the others
-	// more time than its own completion gains.
-	maxOccupancy = 0.8
 	// paceFreshAge is the age up to which a reported pace has full weight. After that the weight decays exponentially with the
 	// time constant paceDecayTime, since noisy neighbours slow an upstream down for some hundred milliseconds at a time.
 	paceFreshAge  = 50 * time.Millisecond
@@ -50,7 +47,8 @@
 	started    time.Time
 	queuedAt   time.Time
 	predicted  time.Duration
-	pace       float64 // slowdown expected at the start, including a cold start; at least 1
+	pace       float64 // slowdown expected at the start, including a cold start and a full upstream; at least 1
+	full       float64 // part of pace that is due to a full upstream; at least 1
 	cold       bool
 	adopted    bool          // granted by a previous owner of the pool, so its start time and pace are not known
 	paceProbed bool          // pace includes the first probe after the start
@@ -116,15 +114,6 @@
 
 func (u *upstream) cold(now time.Time) bool { return now.Before(u.coldUntil) }
 
-// slots is the number of requests that the upstream can run without slowing down.
-func (u *upstream) slots(maxInFlight int) int {
-	n := max(1, int(math.Floor(maxOccupancy*float64(u.spec.Slots)+1e-9)))
-	if maxInFlight > 0 {
-		n = min(n, maxInFlight)
-	}
-	return n
-}
-
 // usable reports whether the upstream may get new requests.
 func (u *upstream) usable(now time.Time, unprobed bool) bool {
 	if u.spec.Closed || !u.reachable || u.wrongInstance || (!u.probed && !unprobed) {
@@ -136,9 +125,10 @@
 	return !now.Before(u.ejectedUntil) && !now.Before(u.fullUntil)
 }
 
-func (u *upstream) free(maxInFlight int) bool {
-	return len(u.running)+u.externalCalls < u.slots(maxInFlight)
-}
+// occupied is the number of requests that the upstream runs, those of other senders included.
+func (u *upstream) occupied() int { return len(u.running) + u.externalCalls }
+
+func (u *upstream) free(o *occupancy) bool { return u.occupied() < o.limit(u.spec.Slots) }
 
 // currentPace is the expected pace: the last report, blended with the average of all upstreams as the report ages.
 func (u *upstream) currentPace(now time.Time, average float64) float64 {
@@ -239,7 +229,7 @@
 		u.updateShedRate(now, 0)
 		u.updateFailureRate(now, 0)
 		u.updateLatencySlowdown(now, e, base, pace)
-		return pace < 1.25 && !c.cold && !c.adopted
+		return pace < 1.25*c.full && !c.cold && !c.adopted
 	case Failure, Lost:
 		u.updateFailureRate(now, 1)
 	case TimedOut:
