Keep overloaded upstreams busy with requests that are in time

Two mechanisms: - free slots of slow upstreams counted as spare capacity. Requests in time aren't sent there, so there are such slots under any load; late requests were therefore accepted and started in the middle of a burst, and kept the slots after the upstreams were fast again. - the queue was as long as the time to the objective, so every request started as late as possible, and ordinary variation made it late.

The estimate of the slowdown of full upstreams moves in smaller steps, and is tried again after some time where it keeps slots unused.

Tried and taken back: an objective that counts from the first try of a caller.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -124,7 +124,7 @@
 	if p.canMeetObjective(now, c) {
 		return false
 	}
-	return p.countSlots(now).spare() && !now.Add(predicted).After(c.ask.Deadline)
+	return p.spareForLateCalls(now) && !now.Add(predicted).After(c.ask.Deadline)
 }
 
 // canMeetObjective reports whether an upstream that isn't slowed down could still meet the objective of the call.
--- a/internal/placement/hedge.go
+++ b/internal/placement/hedge.go
@@ -52,7 +52,7 @@
 // hedge starts a second attempt if one can still meet the objective, the budget allows it and slots are free beyond the
 // reserve. Calls on a version under evaluation are not hedged, because their results decide whether it is rolled back.
 func (p *Pool) hedge(now time.Time, c *call) {
-	if p.move.underEvaluation(c.target.spec.Version) || !p.countSlots(now).spare() {
+	if p.move.underEvaluation(c.target.spec.Version) || !p.countSlots(now).usable.spare() {
 		return
 	}
 	second := &call{ask: c.ask, queuedAt: now}
--- a/internal/placement/load_test.go
+++ b/internal/placement/load_test.go
@@ -29,6 +29,7 @@
 	noise     noise
 	full      float64 // slowdown of calls that start above 0.8 of the slots
 	hedging   bool
+	returning bool // callers return once after a refusal
 	hedges    int
 	shed      map[string]float64 // rate at which an upstream refuses requests, whatever its load
 	shedCount int
@@ -46,6 +47,7 @@
 type simCall struct {
 	arrived  time.Time
 	answered bool
+	returned bool            // refused once and submitted again
 	attempts []func(Outcome) // functions that end each attempt
 }
 
@@ -154,10 +156,30 @@
 	for _, r := range refusals {
 		c := s.calls[r.Ask]
 		delete(s.calls, r.Ask)
+		if s.returning && !c.returned {
+			s.returnLater(c, r.RetryAfter)
+			continue
+		}
 		s.results = append(s.results, result{arrived: c.arrived, refused: s.now.Sub(c.arrived)})
 	}
 }
 
+// returnLater submits a refused request once more, on a new connection. Callers wait as told, up to a third of the time that they
+// have left.
+func (s *simulation) returnLater(c *simCall, after time.Duration) {
+	const connect = 10 * time.Millisecond
+	c.returned = true
+	left := c.arrived.Add(s.deadline).Sub(s.now)
+	s.at(min(after, left/3)+connect, func() {
+		s.next++
+		s.calls[s.next] = c
+		s.applyDecisions(s.pool.Submit(s.now, Ask{
+			ID: s.next, Route: "r", DataCentre: "z", Priority: int(s.next % 2), Objective: c.arrived.Add(s.objective),
+			Deadline: c.arrived.Add(s.deadline), Attempt: 1, MayHedge: s.hedging,
+		}))
+	})
+}
+
 func (s *simulation) run(g Grant) {
 	c := s.calls[FirstOf(g.Ask)]
 	if IsHedge(g.Ask) {
--- a/internal/placement/occupancy.go
+++ b/internal/placement/occupancy.go
@@ -13,7 +13,10 @@
 	// minFullSlowdown and maxFullSlowdown limit the estimate of that slowdown.
 	minFullSlowdown, maxFullSlowdown = 1.05, 4.0
 	// fullSlowdownStep is the relative step by which one latency moves the estimate.
-	fullSlowdownStep = 0.01
+	fullSlowdownStep = 0.002
+	// fullSlowdownDecay is the relative step by which a request moves an estimate that keeps slots unused. The slots are tried
+	// again after some time, since unused slots show nothing.
+	fullSlowdownDecay = 0.0002
 )
 
 // occupancy decides how many slots of an upstream are used. Requests that start above maxOccupancy take longer, so using all
@@ -58,6 +61,13 @@
 	return o.fullSlowdown
 }
 
+// decay lowers an estimate that may no longer hold.
+func (o *occupancy) decay() {
+	if o.fullSlowdown > initialFullSlowdown {
+		o.fullSlowdown *= 1 - fullSlowdownDecay
+	}
+}
+
 // observe moves the estimate towards the median of latency/base of requests that started above maxOccupancy.
 func (o *occupancy) observe(latency, base time.Duration) {
 	if float64(latency) > o.fullSlowdown*float64(base) {
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -51,8 +51,9 @@
 	crashes         map[uint64]crashHistory
 	slots           slotCount
 	occupancy       occupancy
+	arrivals        arrivalRates
 	averageRunning  float64   // moving average of the number of running calls
-	lastSpareAt     time.Time // last time at which slots were free beyond the reserve
+	lastSpareAt     time.Time // last time at which slots of fast upstreams were free beyond the reserve
 	// averagePace is the moving average of the pace that upstreams report in probes.
 	averagePace float64
 	decisions   Decisions
@@ -130,6 +131,7 @@
 		return p.refuse(now, c, ReasonCrashes)
 	}
 	p.move.countArrival()
+	p.arrivals.add(now, priorityLevel(c), p.serviceTime(c))
 	if !p.hasCandidate(c) {
 		return p.refuse(now, c, ReasonNoUpstream)
 	}
@@ -175,7 +177,7 @@
 }
 
 func (p *Pool) refuse(now time.Time, c *call, reason Reason) Decisions {
-	after := max(MinRetryAfter, min(maxRetryAfter, p.expectedWait(now, c)))
+	after := max(MinRetryAfter, min(maxRetryAfter, p.drainTime(now, c)))
 	switch reason {
 	case ReasonCrashes:
 		after = maxRetryAfter
@@ -219,6 +221,7 @@
 		}
 		return
 	}
+	p.occupancy.decay()
 	switch {
 	case base == 0:
 		base = latency
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -11,14 +11,10 @@
 	// assumedSlowdown is the average slowdown of upstreams that estimates of the queueing time assume.
 	assumedSlowdown = 1.5
 	maxWaiting      = 2048
-	// lateReserve is the fraction of the slots that is reserved for calls that can still meet their objective. A late call on
-	// a currently slow upstream would still occupy its slot once the upstream is fast again.
-	lateReserve = 0.2
-	// overloadDelay is how long there must have been no slot free beyond the reserve before late calls are refused immediately.
-	overloadDelay = 150 * time.Millisecond
-	// maxLateWorkPerSlot limits the total service time of queued calls that can no longer meet their objective, per slot. They
-	// only get capacity that other calls leave unused, so more of them would wait in vain.
-	maxLateWorkPerSlot = 120 * time.Millisecond
+	// maxWait limits estimates of the queueing time.
+	maxWait = time.Minute
+	// minWorkRate avoids a division by zero where calls of higher priority need all upstreams.
+	minWorkRate = 0.01
 )
 
 func priorityLevel(c *call) int { return min(max(0, c.ask.Priority), priorityLevels-1) }
@@ -45,61 +41,36 @@
 	return before - len(p.waiting)
 }
 
-// expectedWait estimates the queueing time of c from the work queued at its priority and above.
-func (p *Pool) expectedWait(now time.Time, c *call) time.Duration {
-	var work time.Duration
-	for level := range priorityLevel(c) + 1 {
-		work += p.work[level]
-	}
-	return time.Duration(float64(work) * assumedSlowdown / p.capacity(now))
-}
-
-// slotCount is a cached count of slots. It is cached because counting visits every upstream.
-type slotCount struct {
-	at       time.Time
-	capacity float64 // throughput of all reachable upstreams that aren't closed, in concurrent requests
-	usable   int     // slots of those upstreams that may get requests now
-	free     int     // unoccupied slots among usable
+// drainTime estimates how long the upstreams need for the work queued at the priority of c and above.
+func (p *Pool) drainTime(now time.Time, c *call) time.Duration {
+	return time.Duration(p.queuedWork(c) / p.workRate(now))
 }
 
-// slotCountMaxAge is the age at which a cached slotCount expires.
-const slotCountMaxAge = 5 * time.Millisecond
-
-// countSlots returns the cached count, or a new one if the cache has expired.
-func (p *Pool) countSlots(now time.Time) *slotCount {
-	if age := now.Sub(p.slots.at); p.slots.at.IsZero() || age < 0 || age > slotCountMaxAge {
-		p.recountSlots(now)
+// expectedWait estimates the queueing time of c: the calls queued before it, and those of higher priority that arrive meanwhile,
+// start first.
+func (p *Pool) expectedWait(now time.Time, c *call) time.Duration {
+	work := p.queuedWork(c)
+	if work == 0 {
+		return 0
 	}
-	return &p.slots
+	left := p.workRate(now) - p.arrivals.above(now, priorityLevel(c))
+	return time.Duration(min(float64(maxWait), work/max(left, minWorkRate)))
 }
 
-func (p *Pool) recountSlots(now time.Time) {
-	count := slotCount{at: now}
-	for _, u := range p.sortedUpstreams {
-		if u.spec.Closed || !u.reachable {
-			continue
-		}
-		n := p.occupancy.limit(u.spec.Slots)
-		count.capacity += p.occupancy.throughput(u.spec.Slots)
-		if u.usable(now, p.spec.AllowUnprobed) && p.move.allows(u.spec.Version) {
-			count.usable += n
-			count.free += max(0, n-u.occupied())
-		}
-	}
-	p.slots = count
-	if p.slots.spare() {
-		p.lastSpareAt = now
+// queuedWork is the service time in nanoseconds of the calls queued at the priority of c and above.
+func (p *Pool) queuedWork(c *call) float64 {
+	var work time.Duration
+	for level := range priorityLevel(c) + 1 {
+		work += p.work[level]
 	}
+	return float64(work)
 }
 
-// spare reports whether slots are free beyond the reserve for calls that can meet their objective.
-func (s *slotCount) spare() bool { return float64(s.free) > lateReserve*float64(s.usable) }
-
-// capacity is the throughput of the upstreams, as the number of requests that run concurrently without slowing down.
-func (p *Pool) capacity(now time.Time) float64 { return max(1, p.countSlots(now).capacity) }
+// workRate is the service time that the upstreams complete per unit of time.
+func (p *Pool) workRate(now time.Time) float64 { return p.capacity(now) / assumedSlowdown }
 
 // canQueue reports whether the call may be queued: it is expected to meet its deadline and, if it will miss its objective, the
-// limit of late work is not reached.
+// limit of late work is not reached. Under overload the queue is kept shorter.
 func (p *Pool) canQueue(now time.Time, c *call) bool {
 	if len(p.waiting) >= maxWaiting {
 		return false
@@ -108,20 +79,10 @@
 	if end.After(c.ask.Deadline) {
 		return false
 	}
-	return !end.After(c.ask.Objective) || p.queuedLateWork(now) < p.maxLateWork(now)
-}
-
-// maxLateWork limits the work of queued calls that can't meet their objective. Under overload it is 0.
-func (p *Pool) maxLateWork(now time.Time) time.Duration {
 	if p.overloaded(now) {
-		return 0
+		return !p.queueTooLong(now, c)
 	}
-	return time.Duration(p.capacity(now) * float64(maxLateWorkPerSlot))
-}
-
-// overloaded reports whether there has been no spare slot for overloadDelay.
-func (p *Pool) overloaded(now time.Time) bool {
-	return !p.countSlots(now).spare() && now.Sub(p.lastSpareAt) > overloadDelay
+	return !end.After(c.ask.Objective) || p.queuedLateWork(now) < p.maxLateWork(now)
 }
 
 func (p *Pool) queuedLateWork(now time.Time) time.Duration {
@@ -134,14 +95,15 @@
 	return work
 }
 
-// refuseExpired refuses queued calls that can no longer be answered before their deadline or have no upstream, and late calls
-// beyond the limit of late work.
+// refuseExpired refuses queued calls that can no longer be answered before their deadline or have no upstream, late calls beyond
+// the limit of late work, and under overload those that have waited for long.
 func (p *Pool) refuseExpired(now time.Time) {
 	if len(p.waiting) == 0 {
 		return
 	}
 	limit, late := p.maxLateWork(now), time.Duration(0)
 	noCapacity := p.countSlots(now).capacity == 0
+	overloaded := p.overloaded(now)
 	p.dequeue(func(c *call) bool {
 		switch {
 		case noCapacity, len(c.ask.Exclude) > 0 && !p.hasCandidate(c):
@@ -150,6 +112,9 @@
 		case now.Add(p.serviceTime(c)).After(c.ask.Deadline):
 			p.refuse(now, c, ReasonDeadline)
 			return true
+		case overloaded && p.waitedTooLong(now, c):
+			p.refuse(now, c, ReasonOverload)
+			return true
 		case p.canMeetObjective(now, c):
 			return false
 		}
@@ -198,11 +163,11 @@
 type headroom struct {
 	free     bool
 	slowdown float64 // the lowest among the upstreams that may get a request
-	spare    bool    // more slots are free than the reserve
+	spare    bool    // late calls may start
 }
 
 func (p *Pool) headroom(now time.Time, changed *upstream) headroom {
-	r := headroom{spare: p.countSlots(now).spare()}
+	r := headroom{spare: p.spareForLateCalls(now)}
 	if changed != nil {
 		r.add(now, p, changed)
 		return r
