Skip the queue where no call in it can start

Change: the pool keeps the highest slowdown at which any queued call could meet its objective and the time at which the first one becomes late. Both stay valid while calls leave the queue, so most events compare two numbers. A property test checks that no call that can start is excluded.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -133,6 +133,10 @@
 	if work == 0 {
 		work = p.serviceTime(c)
 	}
-	need := time.Duration(float64(work) * serviceTimeMargin)
-	return !now.Add(need).After(c.ask.Objective)
+	return !now.After(c.lateAt(work))
+}
+
+// lateAt is the time after which a call with the given service time can't meet its objective on any upstream.
+func (c *call) lateAt(work time.Duration) time.Time {
+	return c.ask.Objective.Add(-time.Duration(float64(work) * serviceTimeMargin))
 }
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -52,6 +52,7 @@
 	slots           slotCount
 	occupancy       occupancy
 	arrivals        arrivalRates
+	startBound      startBound
 	averageRunning  float64   // moving average of the number of running calls
 	lastSpareAt     time.Time // last time at which slots of fast upstreams were free beyond the reserve
 	// averagePace is the moving average of the pace that upstreams report in probes.
--- a/internal/placement/pool_test.go
+++ b/internal/placement/pool_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -239,3 +240,28 @@
 	require.Len(t, d.Grants, 1)
 	assert.Equal(t, "near", d.Grants[0].Upstream)
 }
+
+// Guards against calls that stay queued although an upstream is free, because the bound that saves scans of the queue excludes
+// them.
+func TestStartBoundExcludesNoCallThatCanStart(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := New(rand.New(rand.NewPCG(1, 1)))
+		now := epoch
+		for i := range rapid.IntRange(1, 8).Draw(t, "calls") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 50).Draw(t, "gapMs")) * time.Millisecond)
+			route := fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "route"))
+			p.base[route] = time.Duration(rapid.IntRange(1, 200).Draw(t, "serviceMs")) * time.Millisecond
+			objective := now.Add(time.Duration(rapid.IntRange(-100, 600).Draw(t, "objectiveMs")) * time.Millisecond)
+			p.enqueue(&call{ask: Ask{ID: uint64(i + 1), Route: route, Objective: objective}, queuedAt: now})
+		}
+		p.dequeue(func(*call) bool { return rapid.Bool().Draw(t, "leaves") })
+		now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "laterMs")) * time.Millisecond)
+		r := headroom{free: true, slowdown: rapid.Float64Range(1, 12).Draw(t, "slowdown"), spare: rapid.Bool().Draw(t, "spare")}
+		if !p.startBound.excludes(now, r) {
+			return
+		}
+		for _, c := range p.waiting {
+			assert.False(t, p.canStart(now, c, r))
+		}
+	})
+}
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -23,6 +23,7 @@
 	c.work = p.serviceTime(c)
 	p.work[priorityLevel(c)] += c.work
 	p.waiting = append(p.waiting, c)
+	p.startBound.include(c.queuedAt, c)
 }
 
 // dequeue removes the calls for which drop returns true, and returns their number.
@@ -139,7 +140,11 @@
 		return
 	}
 	headroom := p.headroom(now, changed)
-	if !headroom.free || !slices.ContainsFunc(p.waiting, func(c *call) bool { return p.canStart(now, c, headroom) }) {
+	if !headroom.free || !p.move.wantsSample() && p.startBound.excludes(now, headroom) {
+		return
+	}
+	if !slices.ContainsFunc(p.waiting, func(c *call) bool { return p.canStart(now, c, headroom) }) {
+		p.startBound = newStartBound(now, p.waiting)
 		return
 	}
 	p.sortWaiting(now)
@@ -199,6 +204,36 @@
 	return !now.Add(time.Duration(float64(c.work) * r.slowdown)).After(c.ask.Objective)
 }
 
+// startBound tells without a scan of the queue that none of its calls can start. It stays valid when calls leave the queue and as
+// time passes.
+type startBound struct {
+	slowdown float64   // the highest with which a queued call could meet its objective
+	late     time.Time // earliest time at which a queued call can no longer meet its objective; zero if the queue is empty
+}
+
+func newStartBound(now time.Time, waiting []*call) startBound {
+	var b startBound
+	for _, c := range waiting {
+		b.include(now, c)
+	}
+	return b
+}
+
+func (b *startBound) include(now time.Time, c *call) {
+	b.slowdown = max(b.slowdown, float64(c.ask.Objective.Sub(now))/float64(c.work))
+	if late := c.lateAt(c.work); b.late.IsZero() || late.Before(b.late) {
+		b.late = late
+	}
+}
+
+// excludes reports whether canStart is false for all queued calls.
+func (b *startBound) excludes(now time.Time, r headroom) bool {
+	if r.slowdown <= b.slowdown {
+		return false
+	}
+	return !r.spare || !now.After(b.late)
+}
+
 // sortWaiting sorts the queue in the order in which dispatch starts calls.
 func (p *Pool) sortWaiting(now time.Time) {
 	for _, c := range p.waiting {
