Send large records compressed and paced, and the cluster information once

Besides, each follower that joined or left caused a broadcast to all others, about 130 MB when 470 join.

Change: a batch of records is encoded and compressed once for all followers that say they accept it (Hello.AcceptsPacked; others get it as before). Batches above 4 KB are spread over time, so that they use half of the link; advertised followers come first, and other frames don't wait behind them.

Broadcasts are serialised, so that the newest one comes last.

--- a/cmd/boragehinge-entry/run.go
+++ b/cmd/boragehinge-entry/run.go
@@ -100,7 +100,7 @@
 			Name: s.Node, DataCentre: s.Zone, Callers: s.Listen.Callers, Peer: s.Listen.Peers, CPUShare: s.Limits.CPUShare,
 		},
 		Seeds: s.Seeds, Bootstrap: s.Bootstrap, Regions: s.Regions, Store: platform.NewStore(s.Store.Address), Probe: prober.Run, Log: log, Metrics: coordinator.NewMetrics(e.registry),
-		Limits: limits(s),
+		LinkBytesPerSecond: s.LinkBytesPerSecond(), Limits: limits(s),
 	})
 	e.registry.MustRegister(e.node)
 	e.transport = transport.New(transport.Config{
--- a/internal/coordinator/follow.go
+++ b/internal/coordinator/follow.go
@@ -57,7 +57,7 @@
 // hello returns the first message to a leader, and moves the running attempts to the new session.
 func (n *Node) hello(s session) *Hello {
 	running := n.adoptRunning(s)
-	return &Hello{Entry: n.o.Self, Leaving: n.Leaving(), Running: running}
+	return &Hello{Entry: n.o.Self, Leaving: n.Leaving(), AcceptsPacked: true, Running: running}
 }
 
 // adoptRunning returns the attempts that run on upstreams. Their results will be reported to s.
@@ -145,6 +145,12 @@
 	n.mu.Unlock()
 }
 
+func (n *Node) currentClusterInfo() *ClusterInfo {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.clusterInfo
+}
+
 // applyMoveNotice applies the phase of a move to the standalone pools. They send no requests to a version on trial.
 func (n *Node) applyMoveNotice(m MoveNotice) {
 	phase := m.Phase
--- a/internal/coordinator/followers.go
+++ b/internal/coordinator/followers.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -68,7 +69,82 @@
 	l.node.mu.Lock()
 	batch := l.node.view.SnapshotOf(now, gateway.Upstreams)
 	l.node.mu.Unlock()
-	f.link.Queue(func(frame *Frame) { frame.Batches = append(frame.Batches, batch) })
+	l.sendBatches(f, &packedBatch{batch: batch})
+}
+
+// sendBatches queues batches for a follower. Batches reach a follower in the order of the calls.
+func (l *leadership) sendBatches(f *follower, batches ...*packedBatch) {
+	if !l.acceptsPacked(f) {
+		f.link.Queue(func(frame *Frame) {
+			for _, p := range batches {
+				frame.Batches = append(frame.Batches, p.batch)
+			}
+		})
+		return
+	}
+	var items []scheduled
+	for _, p := range batches {
+		data, err := p.pack()
+		if err != nil {
+			l.log.Error().Str("entry", f.entry.Name).Err(err).Msg("failed to pack a batch")
+			f.link.Close()
+			return
+		}
+		items = append(items, scheduled{batch: data, at: l.pacer.reserve(time.Now(), len(data))})
+	}
+	f.link.QueuePacked(items...)
+}
+
+// sendMoves queues notices for a follower, after the batches that were queued before.
+func (l *leadership) sendMoves(f *follower, notices ...MoveNotice) {
+	if !l.acceptsPacked(f) {
+		f.link.Queue(func(frame *Frame) { frame.Moves = append(frame.Moves, notices...) })
+		return
+	}
+	f.link.QueuePacked(scheduled{moves: notices})
+}
+
+func (l *leadership) acceptsPacked(f *follower) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return f.hello != nil && f.hello.AcceptsPacked
+}
+
+// snapshotCache keeps the snapshots that a joining follower receives, because many followers join at once after a start.
+type snapshotCache struct {
+	mu        sync.Mutex
+	at        time.Time
+	snapshots []*packedBatch
+}
+
+// snapshotMaxAge limits the age of a cached snapshot, since it tells how old the orders of moves are.
+const snapshotMaxAge = 250 * time.Millisecond
+
+// get returns the cached snapshots, or new ones.
+func (c *snapshotCache) get(now time.Time, take func() []*packedBatch) []*packedBatch {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.snapshots == nil || now.Sub(c.at) > snapshotMaxAge {
+		c.snapshots, c.at = take(), now
+	}
+	return c.snapshots
+}
+
+func (c *snapshotCache) clear() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.snapshots = nil
+}
+
+// takeSnapshots returns the records that every follower needs.
+func (l *leadership) takeSnapshots(now time.Time) []*packedBatch {
+	l.node.mu.Lock()
+	defer l.node.mu.Unlock()
+	var batches []*packedBatch
+	for _, source := range []gateway.Source{gateway.Operators, gateway.Statuses, gateway.Entries} {
+		batches = append(batches, &packedBatch{batch: l.node.view.SnapshotOf(now, source)})
+	}
+	return batches
 }
 
 // successorCount is the number of top-ranked followers that receive upstream records even if they are not advertised to callers.
@@ -101,6 +177,25 @@
 	return out
 }
 
+// followersByNeed returns the followers, those that are advertised to callers first.
+func (l *leadership) followersByNeed() []*follower {
+	followers := l.currentFollowers()
+	advertised := make(map[*follower]bool, len(followers))
+	for _, f := range followers {
+		advertised[f] = l.isAdvertised(f)
+	}
+	slices.SortStableFunc(followers, func(a, b *follower) int {
+		switch {
+		case advertised[a] == advertised[b]:
+			return 0
+		case advertised[a]:
+			return -1
+		}
+		return 1
+	})
+	return followers
+}
+
 func (l *leadership) followerEntries() []gateway.Entry {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -177,7 +272,7 @@
 	delete(l.followers, f)
 	l.mu.Unlock()
 	l.coordinator.RemoveClient(time.Now(), f)
-	l.publishClusterInfo(time.Now())
+	l.clusterChanged(time.Now())
 	l.log.Info().Str("event", "follower").Str("entry", f.entry.Name).Err(err).Msg("follower left")
 }
 
@@ -217,17 +312,18 @@
 	l.mu.Unlock()
 	if first {
 		l.coordinator.Adopt(now, f, h.Running)
-		l.node.mu.Lock()
-		var batches []gateway.Batch
-		for _, source := range []gateway.Source{gateway.Operators, gateway.Statuses, gateway.Entries} {
-			batches = append(batches, l.node.view.SnapshotOf(now, source))
-		}
-		l.node.mu.Unlock()
+		// The follower joins with its first batch, so the cluster information goes first.
+		l.clusterChanged(now)
+		info := l.node.currentClusterInfo()
 		f.link.Queue(func(frame *Frame) {
-			frame.Batches = append(batches, frame.Batches...)
-			frame.Moves = append(frame.Moves, l.moves.notices()...)
+			if frame.ClusterInfo == nil {
+				frame.ClusterInfo = info
+			}
 		})
+		l.sendBatches(f, l.snapshots.get(now, func() []*packedBatch { return l.takeSnapshots(now) })...)
+		l.sendMoves(f, l.moves.notices()...)
 		l.log.Info().Str("event", "follower").Str("entry", h.Entry.Name).Int("running", len(h.Running)).Msg("follower joined")
+		return
 	}
-	l.publishClusterInfo(now)
+	l.clusterChanged(now)
 }
--- a/internal/coordinator/giveway.go
+++ b/internal/coordinator/giveway.go
@@ -44,6 +44,7 @@
 // a leader as long as it sends heartbeats.
 func (l *leadership) tick(now time.Time, delaySum time.Duration) {
 	l.coordinator.Tick(now)
+	l.publishDueClusterInfo(now)
 	l.node.o.Metrics.tickDelay.Set(delaySum.Seconds())
 	if delaySum < maxTickDelaySum || now.Sub(l.startedAt) < newLeaderPeriod || !l.canHandOver() {
 		return
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -18,6 +18,9 @@
 	// maintenanceInterval is the interval of periodic work that is not urgent: moves, expired tombstones, cluster information.
 	maintenanceInterval = 100 * time.Millisecond
 	clusterInfoInterval = 500 * time.Millisecond
+	// clusterInfoPause is the minimum time between two broadcasts of the cluster information, for each follower. When hundreds of
+	// followers join at once, one broadcast each would fill the leader's network link.
+	clusterInfoPause = 100 * time.Microsecond
 	// rivalInterval is how often a leader queries other entries for rival leaders.
 	rivalInterval = time.Second
 	// newLeaderRivalInterval replaces rivalInterval during the newLeaderPeriod, when several entries may have become leader at once.
@@ -38,12 +41,19 @@
 	startedAt    time.Time
 	rate         rateMeter
 	announcer    announcer
+	pacer        pacer
+	snapshots    snapshotCache
 
 	mu         sync.Mutex
 	followers  map[*follower]struct{}
 	probes     map[string]*probeRun // by upstream
 	advertised map[string][]string  // addresses advertised to callers, by data centre
 	stopping   bool
+	publishing sync.Mutex // serialises the broadcasts of the cluster information, so that the newest comes last
+	// clusterInfoAt is the time of the last broadcast of the cluster information; clusterInfoDue is set while changes wait for the
+	// next one.
+	clusterInfoAt  time.Time
+	clusterInfoDue bool
 }
 
 // probeRun is the probing of one upstream.
@@ -92,6 +102,7 @@
 		node: n, log: n.log, coordinator: NewCoordinator(n.limits(), false), cancel: cancel,
 		startedAt: time.Now(), loggedStates: map[string]upstreamState{}, followers: map[*follower]struct{}{}, probes: map[string]*probeRun{}, advertised: map[string][]string{},
 	}
+	l.pacer.bytesPerSecond = pacedLinkShare * n.o.LinkBytesPerSecond
 	l.relay = &relayStore{direct: n.o.Store, peers: l.peerAddresses, log: n.log}
 	l.feed = &feed.Feed{Store: l.relay, Deliver: l.deliverBatch, Log: n.log}
 	l.relay.onRouteChange = l.feed.Restart
@@ -125,9 +136,11 @@
 	if len(changed.Updates) == 0 && !changed.Snapshot {
 		return
 	}
-	for _, f := range l.currentFollowers() {
+	l.snapshots.clear()
+	packed := &packedBatch{batch: changed}
+	for _, f := range l.followersByNeed() {
 		if b.Source != gateway.Upstreams || l.receivesUpstreams(f) {
-			f.link.Queue(func(f *Frame) { f.Batches = append(f.Batches, changed) })
+			l.sendBatches(f, packed)
 		}
 	}
 }
--- a/internal/coordinator/link.go
+++ b/internal/coordinator/link.go
@@ -27,11 +27,18 @@
 
 	mu     sync.Mutex
 	queued Frame
-	any    bool
+	packed []scheduled // in the order in which they were queued
 	wake   chan struct{}
 	err    error
 }
 
+// scheduled is a compressed batch, or notices that must not overtake the batches before them. It is sent at a set time or later.
+type scheduled struct {
+	at    time.Time
+	batch []byte
+	moves []MoveNotice
+}
+
 // DialLink opens a link to the peer address of another entry.
 func DialLink(ctx context.Context, address string) (*Link, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*dialTimeout)
@@ -64,14 +71,53 @@
 func (l *Link) Queue(change func(*Frame)) {
 	l.mu.Lock()
 	change(&l.queued)
-	l.any = true
 	l.mu.Unlock()
+	l.wakeWriter()
+}
+
+// QueuePacked sends items when they are due, after those queued before them. Items that are due at the same time are sent in one
+// frame. Other frames don't wait for them.
+func (l *Link) QueuePacked(items ...scheduled) {
+	l.mu.Lock()
+	l.packed = append(l.packed, items...)
+	l.mu.Unlock()
+	l.wakeWriter()
+}
+
+func (l *Link) wakeWriter() {
 	select {
 	case l.wake <- struct{}{}:
 	default:
 	}
 }
 
+// untilPacked returns the time until a compressed batch is due, or limit if that is shorter.
+func (l *Link) untilPacked(now time.Time, limit time.Duration) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.packed) == 0 {
+		return limit
+	}
+	return max(0, min(limit, l.packed[0].at.Sub(now)))
+}
+
+// takeFrame returns the queued frame with the compressed batches that are due.
+func (l *Link) takeFrame(now time.Time) Frame {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	frame := l.queued
+	l.queued = Frame{}
+	for len(l.packed) > 0 && !l.packed[0].at.After(now) {
+		next := l.packed[0]
+		l.packed = l.packed[1:]
+		if next.batch != nil {
+			frame.Packed = append(frame.Packed, next.batch)
+		}
+		frame.Moves = append(frame.Moves, next.moves...)
+	}
+	return frame
+}
+
 // Write sends queued frames until ctx ends or the link fails. When nothing is queued for the interval, it sends an empty frame
 // as a heartbeat.
 func (l *Link) Write(ctx context.Context, interval func() time.Duration) error {
@@ -87,15 +133,12 @@
 		if err := l.flush(ctx); err != nil {
 			return err
 		}
-		timer.Reset(interval())
+		timer.Reset(l.untilPacked(time.Now(), interval()))
 	}
 }
 
 func (l *Link) flush(ctx context.Context) error {
-	l.mu.Lock()
-	frame := l.queued
-	l.queued, l.any = Frame{}, false
-	l.mu.Unlock()
+	frame := l.takeFrame(time.Now())
 	data, err := cbor.Marshal(&frame)
 	if err != nil {
 		return fmt.Errorf("encode frame: %w", err)
@@ -121,10 +164,26 @@
 		if err := cbor.Unmarshal(data, &frame); err != nil {
 			return fmt.Errorf("decode frame: %w", err)
 		}
+		if err := frame.unpack(); err != nil {
+			return err
+		}
 		handle(&frame)
 	}
 }
 
+// unpack appends the compressed batches to the others.
+func (f *Frame) unpack() error {
+	for _, data := range f.Packed {
+		b, err := unpackBatch(data)
+		if err != nil {
+			return err
+		}
+		f.Batches = append(f.Batches, b)
+	}
+	f.Packed = nil
+	return nil
+}
+
 // fail closes the connection. The first reason is kept.
 func (l *Link) fail(err error) {
 	l.mu.Lock()
--- a/internal/coordinator/messages_gen.go
+++ b/internal/coordinator/messages_gen.go
@@ -84,6 +84,8 @@
 	ClusterInfo *ClusterInfo `cbor:"8,keyasint,omitempty"`
 	// Moves: progress of version moves.
 	Moves []MoveNotice `cbor:"10,keyasint,omitempty"`
+	// Packed: like Batches, each encoded and compressed with DEFLATE; sent to followers that accept them.
+	Packed [][]byte `cbor:"11,keyasint,omitempty"`
 }
 
 // Hello is the first message of a follower on a link. It is sent again when the state of the follower changes.
@@ -94,6 +96,8 @@
 	Leaving bool `cbor:"2,keyasint,omitempty"`
 	// Running: attempts in progress that were placed before this link existed.
 	Running []Running `cbor:"3,keyasint,omitempty"`
+	// AcceptsPacked: the follower accepts compressed batches.
+	AcceptsPacked bool `cbor:"4,keyasint,omitempty"`
 }
 
 // MoveNotice reports the phase of a version move to followers, which need it to place requests without a leader.
--- a/internal/coordinator/moves.go
+++ b/internal/coordinator/moves.go
@@ -133,7 +133,9 @@
 	}
 	notice := MoveNotice{Service: service, Version: order.move.Version, Phase: phase}
 	m.l.node.applyMoveNotice(notice)
-	m.l.broadcast(func(f *Frame) { f.Moves = append(f.Moves, notice) })
+	for _, f := range m.l.currentFollowers() {
+		m.l.sendMoves(f, notice)
+	}
 }
 
 // write appends a status on the condition that the log still ends at the given offset, so that no concurrent write is
--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -45,9 +45,11 @@
 	Bootstrap bool
 	// Regions maps data centres to regions. Callers are not given addresses in another region.
 	Regions map[string]string
-	Store   Store
-	Limits  Limits
-	Probe   ProbeFunc
+	// LinkBytesPerSecond is the bandwidth of the host's network link; 0 if unknown.
+	LinkBytesPerSecond float64
+	Store              Store
+	Limits             Limits
+	Probe              ProbeFunc
 	// Metrics is optional.
 	Metrics *Metrics
 	Log     zerolog.Logger
--- a/internal/coordinator/roster.go
+++ b/internal/coordinator/roster.go
@@ -44,8 +44,39 @@
 	return h.Sum64()
 }
 
+// clusterChanged publishes the cluster information after a follower joined, left or changed its state: at once, or together with
+// later changes if there are many followers and the last broadcast was just now.
+func (l *leadership) clusterChanged(now time.Time) {
+	l.mu.Lock()
+	l.clusterInfoDue = true
+	l.mu.Unlock()
+	l.publishDueClusterInfo(now)
+}
+
+func (l *leadership) publishDueClusterInfo(now time.Time) {
+	l.publishing.Lock()
+	defer l.publishing.Unlock()
+	l.mu.Lock()
+	pause := time.Duration(len(l.followers)) * clusterInfoPause
+	due := l.clusterInfoDue && (pause < tickInterval || now.Sub(l.clusterInfoAt) >= pause)
+	l.mu.Unlock()
+	if due {
+		l.broadcastClusterInfo(now)
+	}
+}
+
 // publishClusterInfo selects the entries to advertise to callers, and sends the result to all followers.
 func (l *leadership) publishClusterInfo(now time.Time) {
+	l.publishing.Lock()
+	defer l.publishing.Unlock()
+	l.broadcastClusterInfo(now)
+}
+
+// broadcastClusterInfo does the work of publishClusterInfo. The caller holds l.publishing.
+func (l *leadership) broadcastClusterInfo(now time.Time) {
+	l.mu.Lock()
+	l.clusterInfoAt, l.clusterInfoDue = now, false
+	l.mu.Unlock()
 	clusterInfo := &ClusterInfo{Leader: l.node.o.Self.Peer, Callers: withFallback(l.updateAdvertised(l.rate.observe(now, l.coordinator.Served())), l.node.o.Regions)}
 	l.node.setClusterInfo(clusterInfo)
 	l.broadcast(func(f *Frame) { f.ClusterInfo = clusterInfo })
