Don't take a response without an ID for the answer on a reused connection

Cause: a response that names no request was accepted for any request. The second copy of an earlier answer, late and without an ID, was delivered to the next caller; a late copy of a refusal counted as proof that a request had not run, so one that may run once would have been sent again.

Change: once a connection has carried a response that names its request, one that names none is discarded like a copy with another ID.

--- a/cmd/boragehinge-entry/run.go
+++ b/cmd/boragehinge-entry/run.go
@@ -104,7 +104,7 @@
 	})
 	e.registry.MustRegister(e.node)
 	e.transport = transport.New(transport.Config{
-		NotRun: names.Refused, MatchesRequest: names.MatchesRequest, AcceptUndelimited: true, DialTimeout: 300 * time.Millisecond,
+		NotRun: names.Refused, MatchesRequest: names.MatchesRequest, Identifies: names.Identifies, AcceptUndelimited: true, DialTimeout: 300 * time.Millisecond,
 		IdleTimeout: upstreamIdle, RecentResponse: freshConnection,
 	})
 	e.server = ingress.NewServer(ingress.Options{
--- a/internal/headers/headers.go
+++ b/internal/headers/headers.go
@@ -27,6 +27,9 @@
 	return r.Header.Get(n.NotRun) != "" || r.StatusCode == http.StatusMisdirectedRequest
 }
 
+// Identifies reports whether resp names the request that it answers.
+func (n *Names) Identifies(resp *http.Response) bool { return resp.Header.Get(n.RequestID) != "" }
+
 // MatchesRequest reports whether resp is the response to req. A response without a request ID matches any request.
 func (n *Names) MatchesRequest(resp *http.Response, req *http.Request) bool {
 	id := resp.Header.Get(n.RequestID)
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -117,7 +117,7 @@
 		t.Cleanup(u.Stop)
 		r.placer.upstreams = append(r.placer.upstreams, u)
 	}
-	tr := transport.New(transport.Config{NotRun: names.Refused, MatchesRequest: names.MatchesRequest, AcceptUndelimited: true})
+	tr := transport.New(transport.Config{NotRun: names.Refused, MatchesRequest: names.MatchesRequest, Identifies: names.Identifies, AcceptUndelimited: true})
 	r.server = ingress.NewServer(ingress.Options{
 		DataCentre: "z", Names: names, Placer: r.placer, Transport: tr, Decisions: telemetry.NewDecisionLog(io.Discard, 100),
 		Metrics: ingress.NewMetrics(prometheus.NewRegistry()), Log: zerolog.Nop(),
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -18,6 +18,8 @@
 	br       *bufio.Reader
 	bw       *bufio.Writer
 	used     bool // has carried an earlier request; owned by the current call
+	// identifies is set once a response named its request; owned by the current call.
+	identifies bool
 
 	// Guarded by connPool.mu.
 	lastResponse time.Time // time of the dial until the first response arrives
@@ -139,6 +141,7 @@
 	body          *trackedBody  // nil without a request body
 	written       int64         // set by finish
 	finished      bool
+	readLimited   bool // reads of the connection have a deadline
 }
 
 // maxInlineBody is the largest request body that is written before the response is read. Larger ones are written by a
--- a/internal/transport/response.go
+++ b/internal/transport/response.go
@@ -21,6 +21,9 @@
 // maxNotRunBody is the size up to which the body of a not-run response is read, so that the connection can be reused.
 const maxNotRunBody = 4 << 10
 
+// notRunBodyTimeout bounds the time to read that body. The request can be retried elsewhere meanwhile.
+const notRunBodyTimeout = 20 * time.Millisecond
+
 func (x *exchange) readResponse() (*Response, error) {
 	resp, err := x.readFinalResponse() //nolint:bodyclose // closed by the wrapper below or by the caller
 	x.c.headerBytesLeft = -1
@@ -61,7 +64,7 @@
 		if undelimited && !x.c.connPool.cfg.AcceptUndelimited {
 			return nil, malformed{errUndelimited}
 		}
-		if !x.c.connPool.cfg.MatchesRequest(resp, x.req) {
+		if !x.answersRequest(resp) {
 			if err := x.discardResponse(resp, undelimited); err != nil {
 				return nil, err
 			}
@@ -72,6 +75,16 @@
 	return nil, malformed{errors.New("too many informational responses")}
 }
 
+// answersRequest reports whether a response belongs to the request and not to an earlier one of the connection.
+func (x *exchange) answersRequest(resp *http.Response) bool {
+	identified := x.c.connPool.cfg.Identifies(resp)
+	if !identified && x.c.identifies || !x.c.connPool.cfg.MatchesRequest(resp, x.req) {
+		return false
+	}
+	x.c.identifies = x.c.identifies || identified
+	return true
+}
+
 type malformed struct{ error }
 
 // discardResponse reads and discards a response to another request.
@@ -104,7 +117,9 @@
 
 // notRunError finishes an exchange whose response says that the request didn't run.
 func (x *exchange) notRunError(r *Response) error {
-	_, _ = io.CopyN(io.Discard, r.Body, maxNotRunBody)
+	x.readLimited = true
+	_ = x.c.nc.SetReadDeadline(time.Now().Add(notRunBodyTimeout))
+	_, _ = io.CopyN(io.Discard, r.Body, maxNotRunBody+1)
 	_ = r.Body.Close()
 	e := x.newError(UpstreamNotRun, CauseOther, nil)
 	e.Status = r.StatusCode
@@ -215,6 +230,9 @@
 	detached := x.detachContext()
 	// Surplus bytes after the response must not be read as the response to the next request.
 	keep = keep && detached && x.c.br.Buffered() == 0 && x.requestSent()
+	if keep && x.readLimited {
+		keep = x.c.nc.SetReadDeadline(time.Time{}) == nil
+	}
 	if keep {
 		x.c.connPool.release(x.c)
 	} else {
