Keep a leaving follower on compressed batches

Cause, found while reading the change: the Hello by which an entry announces that it is shutting down did not say that it accepts compressed batches. The leader then sent it uncompressed ones, which may overtake those that still wait to be sent.

Change: both messages come from one function. They are made before the frame is locked, so the locks of node and link are not nested.

Measured: TestLeavingFollowerAcceptsPackedBatches fails without it (the old message had no such field); the package passes under the race detector.

--- a/internal/coordinator/follow.go
+++ b/internal/coordinator/follow.go
@@ -41,7 +41,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	c := &leaderConnection{node: n, link: link, address: address, session: newLinkSession(link)}
-	link.Queue(func(frame *Frame) { frame.Hello = n.hello(c.session) })
+	hello := n.hello(n.adoptRunning(c.session))
+	link.Queue(func(frame *Frame) { frame.Hello = hello })
 	go func() {
 		if err := link.Write(ctx, func() time.Duration { return followerHeartbeat }); err != nil {
 			link.fail(err)
@@ -54,13 +55,12 @@
 	n.log.Warn().Str("dependency", "leader").Str("leader", address).Err(err).Msg("dependency lost")
 }
 
-// hello returns the first message to a leader, and moves the running attempts to the new session.
-func (n *Node) hello(s session) *Hello {
-	running := n.adoptRunning(s)
+// hello introduces this entry to a leader.
+func (n *Node) hello(running []Running) *Hello {
 	return &Hello{Entry: n.o.Self, Leaving: n.Leaving(), AcceptsPacked: true, Running: running}
 }
 
-// adoptRunning returns the attempts that run on upstreams. Their results will be reported to s.
+// adoptRunning moves the running attempts to a session, to which their results will be reported, and returns them.
 func (n *Node) adoptRunning(s session) []Running {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -254,7 +254,8 @@
 	s, l := n.session, n.leader
 	n.mu.Unlock()
 	if link, ok := s.(*linkSession); ok {
-		link.link.Queue(func(f *Frame) { f.Hello = &Hello{Entry: n.o.Self, Leaving: true} })
+		hello := n.hello(nil)
+		link.link.Queue(func(f *Frame) { f.Hello = hello })
 	}
 	if l != nil {
 		l.stop()
--- a/internal/coordinator/pack_test.go
+++ b/internal/coordinator/pack_test.go
@@ -129,3 +129,26 @@
 	assert.True(t, cancelled)
 	assert.Equal(t, []int64{0, 1, 2}, ends)
 }
+
+// Guards against a follower that is shutting down and no longer says that it accepts compressed batches: uncompressed ones would
+// overtake those that still wait to be sent.
+func TestLeavingFollowerAcceptsPackedBatches(t *testing.T) {
+	c := startCluster(t, 2)
+	l := c.leader().node.leader
+	for _, m := range c.members {
+		if m != c.leader() {
+			m.node.Leave()
+		}
+	}
+	c.eventually("the leader knows that the follower leaves", 3*time.Second, func() bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		for f := range l.followers {
+			return f.hello.Leaving
+		}
+		return false
+	})
+	for _, f := range l.currentFollowers() {
+		assert.True(t, l.acceptsPacked(f))
+	}
+}
