Send upstream records before the first grants, and simplify the last changes

Cause: since records are packed, they are queued later than the grants of the same frame; a follower whose leader was lost right after its first grant had no upstreams to place requests on.

Simplified, without a change of behaviour: the pace of each upstream is computed once a count instead of twice; the last time to start on a busy upstream comes from lateAt; advertised followers are selected under one lock without a sort; handleHello has one publication and sendState; a test uses asError.

--- a/internal/coordinator/followers.go
+++ b/internal/coordinator/followers.go
@@ -54,6 +54,11 @@
 func (l *leadership) isAdvertised(f *follower) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return l.advertises(f)
+}
+
+// advertises does the work of isAdvertised. The caller holds l.mu.
+func (l *leadership) advertises(f *follower) bool {
 	return slices.Contains(l.advertised[f.entry.DataCentre], f.entry.Callers)
 }
 
@@ -179,21 +184,17 @@
 
 // followersByNeed returns the followers, those that are advertised to callers first.
 func (l *leadership) followersByNeed() []*follower {
-	followers := l.currentFollowers()
-	advertised := make(map[*follower]bool, len(followers))
-	for _, f := range followers {
-		advertised[f] = l.isAdvertised(f)
-	}
-	slices.SortStableFunc(followers, func(a, b *follower) int {
-		switch {
-		case advertised[a] == advertised[b]:
-			return 0
-		case advertised[a]:
-			return -1
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var advertised, others []*follower
+	for f := range l.followers {
+		if l.advertises(f) {
+			advertised = append(advertised, f)
+		} else {
+			others = append(others, f)
 		}
-		return 1
-	})
-	return followers
+	}
+	return append(advertised, others...)
 }
 
 func (l *leadership) followerEntries() []gateway.Entry {
@@ -288,10 +289,10 @@
 	}
 	if len(frame.Asks) > 0 {
 		f.activity.record(now)
-		l.coordinator.Submit(now, f, frame.Asks...)
 		if l.isAdvertised(f) {
-			l.sendUpstreams(now, f)
+			l.sendUpstreams(now, f) // before the grants, so that the follower can go on if this leader is lost right after them
 		}
+		l.coordinator.Submit(now, f, frame.Asks...)
 	}
 	if len(frame.Cancels) > 0 {
 		l.coordinator.Cancel(f, frame.Cancels...)
@@ -312,18 +313,22 @@
 	l.mu.Unlock()
 	if first {
 		l.coordinator.Adopt(now, f, h.Running)
-		// The follower joins with its first batch, so the cluster information goes first.
-		l.clusterChanged(now)
-		info := l.node.currentClusterInfo()
-		f.link.Queue(func(frame *Frame) {
-			if frame.ClusterInfo == nil {
-				frame.ClusterInfo = info
-			}
-		})
-		l.sendBatches(f, l.snapshots.get(now, func() []*packedBatch { return l.takeSnapshots(now) })...)
-		l.sendMoves(f, l.moves.notices()...)
+	}
+	l.clusterChanged(now) // before the records, because the follower joins with its first batch
+	if first {
+		l.sendState(now, f)
 		l.log.Info().Str("event", "follower").Str("entry", h.Entry.Name).Int("running", len(h.Running)).Msg("follower joined")
-		return
 	}
-	l.clusterChanged(now)
+}
+
+// sendState sends a joining follower the cluster information, the records and the phases of moves.
+func (l *leadership) sendState(now time.Time, f *follower) {
+	info := l.node.currentClusterInfo()
+	f.link.Queue(func(frame *Frame) {
+		if frame.ClusterInfo == nil { // otherwise a newer broadcast is queued
+			frame.ClusterInfo = info
+		}
+	})
+	l.sendBatches(f, l.snapshots.get(now, func() []*packedBatch { return l.takeSnapshots(now) })...)
+	l.sendMoves(f, l.moves.notices()...)
 }
--- a/internal/placement/overload.go
+++ b/internal/placement/overload.go
@@ -11,7 +11,7 @@
 	// maxLateWorkPerSlot limits the total service time of queued calls that can no longer meet their objective, per slot. They
 	// only get capacity that other calls leave unused, so more of them would wait in vain.
 	maxLateWorkPerSlot = 120 * time.Millisecond
-	// overloadQueueShare is the fraction of the slack of a call that it may be expected to wait under overload. A longer queue adds
+	// overloadQueueShare is the fraction of the time until a call is late that it may be expected to wait under overload. A longer queue adds
 	// no throughput then, but all calls in it would start so late that ordinary variation of their service times makes them miss
 	// the objective.
 	overloadQueueShare = 0.7
@@ -30,6 +30,12 @@
 	fast     slotUse // those among them whose upstreams aren't slower than usual
 }
 
+// acceptingUpstream is an upstream that may get requests now, as recountSlots saw it.
+type acceptingUpstream struct {
+	pace            float64
+	slots, occupied int
+}
+
 // slotUse counts the slots of some upstreams.
 type slotUse struct{ total, free int }
 
@@ -51,8 +57,8 @@
 
 func (p *Pool) recountSlots(now time.Time) {
 	count := slotCount{at: now, slowdown: 1}
-	slowPace := slowPaceRatio * p.usualPace(now)
-	slots := 0
+	slots, speed := 0, 0.0
+	p.accepting = p.accepting[:0]
 	for _, u := range p.sortedUpstreams {
 		if u.spec.Closed || !u.reachable {
 			continue
@@ -60,12 +66,19 @@
 		n := p.occupancy.limit(u.spec.Slots)
 		slots += n
 		count.capacity += p.occupancy.throughput(u.spec.Slots)
-		if !p.acceptsRequests(now, u) {
+		if !u.usable(now, p.spec.AllowUnprobed) || !p.move.allows(u.spec.Version) {
 			continue
 		}
 		count.usable.add(n, u.occupied())
-		if u.currentPace(now, p.averagePace) <= slowPace {
-			count.fast.add(n, u.occupied())
+		pace := u.currentPace(now, p.averagePace)
+		p.accepting = append(p.accepting, acceptingUpstream{pace, n, u.occupied()})
+		speed += 1 / pace
+	}
+	// The harmonic mean is the pace of the throughput of all of them.
+	usualPace := float64(len(p.accepting)) / speed
+	for _, a := range p.accepting {
+		if a.pace <= slowPaceRatio*usualPace {
+			count.fast.add(a.slots, a.occupied)
 		}
 	}
 	if count.capacity > 0 {
@@ -77,25 +90,6 @@
 	}
 }
 
-func (p *Pool) acceptsRequests(now time.Time, u *upstream) bool {
-	return u.usable(now, p.spec.AllowUnprobed) && p.move.allows(u.spec.Version)
-}
-
-// usualPace is the harmonic mean of the paces of the upstreams that may get requests, which is the pace of their throughput.
-func (p *Pool) usualPace(now time.Time) float64 {
-	n, speed := 0, 0.0
-	for _, u := range p.sortedUpstreams {
-		if p.acceptsRequests(now, u) {
-			n++
-			speed += 1 / u.currentPace(now, p.averagePace)
-		}
-	}
-	if n == 0 {
-		return 1
-	}
-	return float64(n) / speed
-}
-
 // capacity is the throughput of the upstreams, as the number of requests that run concurrently without slowing down.
 func (p *Pool) capacity(now time.Time) float64 { return max(1, p.countSlots(now).capacity) }
 
@@ -112,20 +106,15 @@
 	return count.fast.spare() || count.usable.spare() && !p.overloaded(now)
 }
 
-// slack is the time for which a call could wait after it was queued and still meet its objective on a busy upstream.
-func (p *Pool) slack(now time.Time, c *call) time.Duration {
-	service := time.Duration(serviceTimeMargin * p.countSlots(now).slowdown * float64(p.serviceTime(c)))
-	return c.ask.Objective.Sub(c.queuedAt) - service
+// lateAtWhenBusy is the time after which a call can't meet its objective on a busy upstream.
+func (p *Pool) lateAtWhenBusy(now time.Time, c *call) time.Time {
+	return c.lateAt(time.Duration(p.countSlots(now).slowdown * float64(p.serviceTime(c))))
 }
 
-// queueTooLong reports whether a call should be refused under overload rather than queued.
+// queueTooLong reports whether a new call should be refused under overload rather than queued.
 func (p *Pool) queueTooLong(now time.Time, c *call) bool {
-	return float64(p.expectedWait(now, c)) > overloadQueueShare*float64(p.slack(now, c))
-}
-
-// waitedTooLong reports whether a queued call should be refused under overload, because it would be late on a busy upstream.
-func (p *Pool) waitedTooLong(now time.Time, c *call) bool {
-	return now.Sub(c.queuedAt) > p.slack(now, c)
+	slack := p.lateAtWhenBusy(now, c).Sub(now)
+	return float64(p.expectedWait(now, c)) > overloadQueueShare*float64(slack)
 }
 
 // maxLateWork limits the work of queued calls that can't meet their objective. Under overload it is 0.
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -50,6 +50,7 @@
 	move            moveState
 	crashes         map[uint64]crashHistory
 	slots           slotCount
+	accepting       []acceptingUpstream // reused by recountSlots
 	occupancy       occupancy
 	arrivals        arrivalRates
 	startBound      startBound
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -113,7 +113,7 @@
 		case now.Add(p.serviceTime(c)).After(c.ask.Deadline):
 			p.refuse(now, c, ReasonDeadline)
 			return true
-		case overloaded && p.waitedTooLong(now, c):
+		case overloaded && now.After(p.lateAtWhenBusy(now, c)):
 			p.refuse(now, c, ReasonOverload)
 			return true
 		case p.canMeetObjective(now, c):
--- a/internal/transport/unwanted_test.go
+++ b/internal/transport/unwanted_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -152,9 +151,7 @@
 	})
 	tr := newTransport(t, Config{})
 	_, err := call(t, tr, s.address(), newRequest(t, http.MethodGet, "/", ""))
-	var e *Error
-	require.True(t, errors.As(err, &e))
-	require.Equal(t, UpstreamNotRun, e.Kind)
+	require.Equal(t, UpstreamNotRun, asError(t, err).Kind)
 	body, err := call(t, tr, s.address(), newRequest(t, http.MethodGet, "/", ""))
 	require.NoError(t, err)
 	assert.Equal(t, "ok", body)
