--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -45,7 +45,8 @@
 
 // Coordinator owns the pools of all services. Its methods may be called from any goroutine.
 type Coordinator struct {
-	standalone bool // serves a single entry that has no leader, without probes
+	standalone bool       // serves a single entry that has no leader, without probes
+	work       *workMeter // optional
 
 	mu     sync.Mutex
 	limits Limits
@@ -76,6 +77,7 @@
 	if v.Config == nil {
 		return
 	}
+	began := time.Now()
 	c.mu.Lock()
 	restricted, limits := c.restricted, c.limits
 	c.mu.Unlock()
@@ -110,6 +112,7 @@
 		}
 		c.collect(pool.Configure(now, spec))
 	}
+	c.work.since(began, configureWork)
 	c.deliver()
 }
 
@@ -145,9 +148,11 @@
 // Submit submits asks of a client. The decisions are passed to client.Deliver, before Submit returns or later.
 func (c *Coordinator) Submit(now time.Time, client Client, asks ...Ask) {
 	c.mu.Lock()
+	began := time.Now()
 	for i := range asks {
 		c.submit(now, client, &asks[i])
 	}
+	c.work.since(began, submitWork)
 	c.deliver()
 }
 
@@ -204,6 +209,7 @@
 // Finish records the results of granted asks of a client.
 func (c *Coordinator) Finish(now time.Time, client Client, ends ...End) {
 	c.mu.Lock()
+	began := time.Now()
 	for _, e := range ends {
 		id, ok := c.idsByClient[client][e.Ask]
 		if !ok {
@@ -214,6 +220,7 @@
 		c.forget(id)
 		c.collect(d)
 	}
+	c.work.since(began, finishWork)
 	c.deliver()
 }
 
@@ -248,18 +255,22 @@
 // Probe records the result of a health probe.
 func (c *Coordinator) Probe(now time.Time, service string, p placement.Probe) {
 	c.mu.Lock()
+	began := time.Now()
 	if pool := c.pools[service]; pool != nil {
 		c.collect(pool.Probe(now, p))
 	}
+	c.work.since(began, probeWork)
 	c.deliver()
 }
 
 // Tick advances the timers of all pools.
 func (c *Coordinator) Tick(now time.Time) {
 	c.mu.Lock()
+	began := time.Now()
 	for _, pool := range c.pools {
 		c.collect(pool.Tick(now))
 	}
+	c.work.since(began, tickWork)
 	c.deliver()
 }
 
@@ -283,6 +294,17 @@
 	return names
 }
 
+// Waiting returns the number of queued asks of all services.
+func (c *Coordinator) Waiting() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, pool := range c.pools {
+		n += pool.Waiting()
+	}
+	return n
+}
+
 // Served returns the number of asks submitted so far to services that have a pool.
 func (c *Coordinator) Served() uint64 {
 	c.mu.Lock()
--- a/internal/coordinator/followers.go
+++ b/internal/coordinator/followers.go
@@ -254,6 +254,7 @@
 		n.log.Warn().Err(err).Msg("failed to accept a link")
 		return
 	}
+	link.work = &n.work
 	l.serve(r.Context(), link)
 }
 
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -102,6 +102,7 @@
 		node: n, log: n.log, coordinator: NewCoordinator(n.limits(), false), cancel: cancel,
 		startedAt: time.Now(), loggedStates: map[string]upstreamState{}, followers: map[*follower]struct{}{}, probes: map[string]*probeRun{}, advertised: map[string][]string{},
 	}
+	l.coordinator.work = &n.work
 	l.pacer.bytesPerSecond = pacedLinkShare * n.o.LinkBytesPerSecond
 	l.relay = &relayStore{direct: n.o.Store, peers: l.peerAddresses, log: n.log}
 	l.feed = &feed.Feed{Store: l.relay, Deliver: l.deliverBatch, Log: n.log}
@@ -188,6 +189,7 @@
 // runMaintenance does the periodic work that is not urgent, until ctx ends.
 func (l *leadership) runMaintenance(ctx context.Context) {
 	var clusterInfoAt, statesLoggedAt time.Time
+	load := loadLogger{leadership: l}
 	pause.Every(ctx, maintenanceInterval, func(now time.Time) {
 		l.checkMajority(now)
 		l.expireTombstones(now)
@@ -203,6 +205,7 @@
 			statesLoggedAt = now
 			l.logUpstreamStates(now)
 		}
+		load.log(now)
 	})
 }
 
--- a/internal/coordinator/link.go
+++ b/internal/coordinator/link.go
@@ -24,6 +24,7 @@
 // frame.
 type Link struct {
 	conn *websocket.Conn
+	work *workMeter // optional
 
 	mu     sync.Mutex
 	queued Frame
@@ -138,6 +139,7 @@
 }
 
 func (l *Link) flush(ctx context.Context) error {
+	defer l.work.since(time.Now(), sendWork)
 	frame := l.takeFrame(time.Now())
 	data, err := cbor.Marshal(&frame)
 	if err != nil {
@@ -160,15 +162,24 @@
 			return l.failure(err)
 		}
 		idleTimer.Reset(timeout())
-		var frame Frame
-		if err := cbor.Unmarshal(data, &frame); err != nil {
-			return fmt.Errorf("decode frame: %w", err)
-		}
-		if err := frame.unpack(); err != nil {
+		frame, err := l.decode(data)
+		if err != nil {
 			return err
 		}
-		handle(&frame)
+		handle(frame)
+	}
+}
+
+func (l *Link) decode(data []byte) (*Frame, error) {
+	defer l.work.since(time.Now(), receiveWork)
+	var frame Frame
+	if err := cbor.Unmarshal(data, &frame); err != nil {
+		return nil, fmt.Errorf("decode frame: %w", err)
+	}
+	if err := frame.unpack(); err != nil {
+		return nil, err
 	}
+	return &frame, nil
 }
 
 // unpack appends the compressed batches to the others.
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -125,6 +125,7 @@
 	entriesDesc   = prometheus.NewDesc("boragehinge_known_entries", "Entries with a record in the store.", nil, nil)
 	waitingDesc   = prometheus.NewDesc("boragehinge_waiting_requests", "Requests that wait for an upstream, at the leader.", []string{"service"}, nil)
 	upstreamsDesc = prometheus.NewDesc("boragehinge_upstreams", "Upstreams as the leader judges them.", []string{"service", "state"}, nil)
+	workDesc      = prometheus.NewDesc("boragehinge_leader_work_seconds_total", "Time that this entry spent on work for all entries while it led.", []string{"work"}, nil)
 	runningDesc   = prometheus.NewDesc("boragehinge_running_requests", "Requests that run on upstreams, at the leader.", []string{"service"}, nil)
 )
 
@@ -143,6 +144,9 @@
 	if c := n.Config(); c != nil {
 		gauge(versionDesc, int(c.Version)) //nolint:gosec // versions are far below the maximum of int
 	}
+	for kind, spent := range n.work.totals() {
+		ch <- prometheus.MustNewConstMetric(workDesc, prometheus.CounterValue, spent.Seconds(), workKind(kind).String()) //nolint:gosec // a few kinds
+	}
 	if l == nil {
 		gauge(leadsDesc, 0)
 		return
--- a/internal/coordinator/metrics_test.go
+++ b/internal/coordinator/metrics_test.go
@@ -36,7 +36,7 @@
 	assert.EqualValues(t, 1, found["boragehinge_running_requests"])
 	assert.EqualValues(t, 1, found["boragehinge_configuration_version"])
 	assert.EqualValues(t, 1, found["boragehinge_placements_total"])
-	for _, name := range []string{"boragehinge_probes_total", "boragehinge_store_calls_total", "boragehinge_store_call_seconds"} {
+	for _, name := range []string{"boragehinge_leader_work_seconds_total", "boragehinge_probes_total", "boragehinge_store_calls_total", "boragehinge_store_call_seconds"} {
 		assert.Positive(t, found[name], name)
 	}
 }
--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -81,6 +81,7 @@
 	config  atomic.Pointer[gateway.Config]
 	initial initialConfig
 	probed  atomic.Int64 // upstreams that this entry probes while it leads
+	work    workMeter    // of this entry while it leads
 	// minority is set while a majority of the entries may follow another leader.
 	minority atomic.Bool
 	nextID   atomic.Uint64
