Keep the queue sorted

Change: a call is inserted at its place, the order changes only when calls become late, and a dispatch ends when no upstream is free. Evidence: TestCostOfAStartDoesNotGrowWithTheQueue: 8.2 us with 20 waiting requests, 31 us with 500 before (it fails); 7.4 and 8.5 us after.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -157,11 +157,11 @@
 
 // canMeetObjective reports whether an upstream that isn't slowed down could still meet the objective of the call.
 func (p *Pool) canMeetObjective(now time.Time, c *call) bool {
-	work := c.work
-	if work == 0 {
-		work = p.serviceTime(c)
+	lateFrom := c.lateFrom
+	if lateFrom.IsZero() { // it isn't queued
+		lateFrom = c.lateAt(p.serviceTime(c))
 	}
-	return !now.After(c.lateAt(work))
+	return !now.After(lateFrom)
 }
 
 // lateAt is the time after which a call with the given service time can't meet its objective on any upstream.
--- a/internal/placement/load_test.go
+++ b/internal/placement/load_test.go
@@ -445,3 +445,52 @@
 	t.Logf("a request takes %s with 26 upstreams and %s with 787", few, many)
 	assert.Less(t, many, 4*few)
 }
+
+// Guards against a cost per start that grows with the queue: each start sorted the whole queue again, which took the leader's
+// remaining time when 460 requests waited (scale-1 of yeux-sfax-large).
+func TestCostOfAStartDoesNotGrowWithTheQueue(t *testing.T) {
+	const starts = 2000
+	measure := func(waiting int) time.Duration {
+		p := New(rand.New(rand.NewPCG(1, 1)))
+		spec := Spec{RetryWindow: time.Second}
+		for i := range 30 {
+			id := fmt.Sprint(i)
+			spec.Upstreams = append(spec.Upstreams, UpstreamSpec{ID: id, Address: id, DataCentre: "z", Slots: 20})
+		}
+		p.Configure(epoch, spec)
+		p.base["r"] = time.Millisecond
+		for _, u := range spec.Upstreams {
+			p.Probe(epoch, Probe{Upstream: u.ID, Answered: true, Healthy: true, Load: &Load{Pace: 1}})
+		}
+		var running []uint64
+		submit := func(id uint64) {
+			d := p.Submit(epoch, Ask{ID: id, Route: "r", DataCentre: "z", Priority: int(id % 3), Objective: epoch.Add(time.Duration(10+id%7) * time.Second), Deadline: epoch.Add(time.Minute)})
+			for _, g := range d.Grants {
+				running = append(running, g.Ask)
+			}
+		}
+		next := uint64(0)
+		for p.Waiting() < waiting {
+			next++
+			submit(next)
+		}
+		start := time.Now()
+		for range starts {
+			d := p.Finish(epoch, End{Ask: running[0], Outcome: Success, Latency: time.Millisecond})
+			running = running[1:]
+			for _, g := range d.Grants {
+				running = append(running, g.Ask)
+			}
+			next++
+			submit(next)
+		}
+		require.GreaterOrEqual(t, p.Waiting(), waiting-2)
+		return time.Since(start) / starts
+	}
+	short, long := time.Hour, time.Hour
+	for range 5 {
+		short, long = min(short, measure(20)), min(long, measure(500))
+	}
+	t.Logf("a start takes %s with 20 waiting requests and %s with 500", short, long)
+	assert.Less(t, long, 2*short)
+}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -43,7 +43,8 @@
 	upstreams       map[string]*upstream
 	sortedUpstreams []*upstream // ordered by ID
 	calls           map[uint64]*call
-	waiting         []*call
+	waiting         []*call                       // sorted, see sortWaiting
+	nextLate        time.Time                     // no queued call becomes late before
 	work            [priorityLevels]time.Duration // total service time of the waiting calls, by priority
 	base            map[string]time.Duration      // estimated service time by route, on an upstream that isn't slowed down
 	budget          budget
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sort"
 	"time"
 )
 
@@ -21,8 +22,11 @@
 
 func (p *Pool) enqueue(c *call) {
 	c.work = p.serviceTime(c)
+	c.lateFrom = c.lateAt(c.work)
+	p.nextLate = earlier(p.nextLate, c.lateFrom)
 	p.work[priorityLevel(c)] += c.work
-	p.waiting = append(p.waiting, c)
+	i := sort.Search(len(p.waiting), func(i int) bool { return startOrder(p.waiting[i], c) > 0 })
+	p.waiting = slices.Insert(p.waiting, i, c)
 	p.startBound.include(c.queuedAt, c)
 }
 
@@ -143,25 +147,29 @@
 	if !headroom.free || !p.move.wantsSample() && p.startBound.excludes(now, headroom) {
 		return
 	}
-	if !slices.ContainsFunc(p.waiting, func(c *call) bool { return p.canStart(now, c, headroom) }) {
-		p.startBound = newStartBound(now, p.waiting)
-		return
-	}
 	p.sortWaiting(now)
-	failedSearches := 0
-	p.dequeue(func(c *call) bool {
-		if !headroom.free || failedSearches >= maxFailedSearches || !p.canStart(now, c, headroom) {
-			return false
+	startable, failedSearches := false, 0
+	for i := 0; i < len(p.waiting) && headroom.free && failedSearches < maxFailedSearches; {
+		c := p.waiting[i]
+		if !p.canStart(now, c, headroom) {
+			i++
+			continue
 		}
+		startable = true
 		u := p.choose(now, c)
 		if u == nil {
 			failedSearches++
-			return false
+			i++
+			continue
 		}
+		p.waiting = slices.Delete(p.waiting, i, i+1)
+		p.work[priorityLevel(c)] -= c.work
 		p.grant(now, c, u)
 		headroom = p.headroom(now, changed)
-		return true
-	})
+	}
+	if !startable {
+		p.startBound = newStartBound(now, p.waiting)
+	}
 }
 
 // headroom is the free capacity that queued calls may use now.
@@ -223,9 +231,7 @@
 
 func (b *startBound) include(now time.Time, c *call) {
 	b.slowdown = max(b.slowdown, float64(c.ask.Objective.Sub(now))/float64(c.work))
-	if late := c.lateAt(c.work); b.late.IsZero() || late.Before(b.late) {
-		b.late = late
-	}
+	b.late = earlier(b.late, c.lateFrom)
 }
 
 // excludes reports whether canStart is false for all queued calls.
@@ -236,21 +242,40 @@
 	return !r.spare || !now.After(b.late)
 }
 
-// sortWaiting sorts the queue in the order in which dispatch starts calls.
+// sortWaiting sorts the queue in the order in which dispatch starts calls. The queue is in that order already, unless calls became
+// late.
 func (p *Pool) sortWaiting(now time.Time) {
+	if !now.After(p.nextLate) {
+		return
+	}
+	p.nextLate = time.Time{}
 	for _, c := range p.waiting {
-		c.late = !p.canMeetObjective(now, c)
+		c.late = now.After(c.lateFrom)
+		if !c.late {
+			p.nextLate = earlier(p.nextLate, c.lateFrom)
+		}
 	}
-	slices.SortStableFunc(p.waiting, func(a, b *call) int {
-		switch {
-		case a.late != b.late:
-			if b.late {
-				return -1
-			}
-			return 1
-		case a.ask.Priority != b.ask.Priority:
-			return a.ask.Priority - b.ask.Priority
+	slices.SortStableFunc(p.waiting, startOrder)
+}
+
+// earlier returns the earlier of two times. The zero time counts as none.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// startOrder compares queued calls by the order in which dispatch starts them.
+func startOrder(a, b *call) int {
+	switch {
+	case a.late != b.late:
+		if b.late {
+			return -1
 		}
-		return a.ask.Objective.Compare(b.ask.Objective)
-	})
+		return 1
+	case a.ask.Priority != b.ask.Priority:
+		return a.ask.Priority - b.ask.Priority
+	}
+	return a.ask.Objective.Compare(b.ask.Objective)
 }
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -54,6 +54,7 @@
 	paceProbed bool          // pace includes the first probe after the start
 	hedged     bool          // a hedge was started
 	work       time.Duration // service time estimated when it was queued
+	lateFrom   time.Time     // after that a queued call can't meet its objective
 	late       bool          // can no longer meet its objective
 }
 
