Keep the limits that upstreams name

Cause: nothing read the header. The class of fault is a signal of an upstream that no part of the system owns. Change: entries read the limit from each response and report it with the end of the attempt, and probes read it too. The pool keeps a token bucket for each such upstream, counts its unused slots as no capacity, and so refuses at once what all limits together don't allow. A response without a limit lifts it, unless its attempt started before the limit was named. A follower tells a new leader the limits that it has seen; the new leader starts with empty buckets; entries without a leader share a limit by their number. Two leaders for a moment stay within the bound: 4 s at the rate, 1.3 s of overlap and two bursts are 5.8 times the limit, allowed are 6 times the limit and 5.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -71,22 +71,22 @@
 	}
 }
 
-// Configure applies upstreams, services and evacuated data centres to the pools. Call it when the view has changed; v is only
-// read.
-func (c *Coordinator) Configure(now time.Time, v *gateway.View) {
+// Configure applies upstreams, services and evacuated data centres to the pools. Call it when the view has changed; v and limits, by
+// upstream, are only read.
+func (c *Coordinator) Configure(now time.Time, v *gateway.View, limits map[string]namedLimit) {
 	if v.Config == nil {
 		return
 	}
 	began := time.Now()
 	c.mu.Lock()
-	restricted, limits := c.restricted, c.limits
+	restricted, bounds := c.restricted, c.limits
 	c.mu.Unlock()
 	specs := make(map[string]placement.Spec, len(v.Config.Services))
 	for name, s := range v.Config.Services {
 		spec := placement.Spec{
-			ColdPerSecond: s.ColdPerSecond, RetryRatio: limits.RetryRatio, RetryBurst: limits.RetryBurst,
-			RetryWindow: limits.RetryWindow, BadShare: limits.BadShare, BadSlack: limits.BadSlack, AllowUnprobed: c.standalone,
-			ColdFactor: limits.ColdFactor, ColdSlack: limits.ColdSlack,
+			ColdPerSecond: s.ColdPerSecond, RetryRatio: bounds.RetryRatio, RetryBurst: bounds.RetryBurst,
+			RetryWindow: bounds.RetryWindow, BadShare: bounds.BadShare, BadSlack: bounds.BadSlack, AllowUnprobed: c.standalone,
+			ColdFactor: bounds.ColdFactor, ColdSlack: bounds.ColdSlack,
 		}
 		if c.standalone {
 			spec.MaxInFlight = standaloneMaxInFlight
@@ -94,14 +94,15 @@
 		if c.standalone || restricted {
 			spec.ColdPerSecond, spec.ColdSlack = 0, 0
 			spec.RetryRatio, spec.RetryBurst = spec.RetryRatio*restrictedBudgetShare, spec.RetryBurst*restrictedBudgetShare
+			spec.LimitShare = 1 / float64(max(1, len(v.Entries)))
 		}
 		specs[name] = spec
 	}
 	for _, u := range v.Upstreams {
-		addUpstream(specs, v, u, u.Draining)
+		addUpstream(specs, v, u, u.Draining, limits)
 	}
 	for _, t := range v.Tombstones {
-		addUpstream(specs, v, t.Upstream, t.Upstream.Draining || !now.Before(t.GraceEnd))
+		addUpstream(specs, v, t.Upstream, t.Upstream.Draining || !now.Before(t.GraceEnd), limits)
 	}
 	c.mu.Lock()
 	for name, spec := range specs {
@@ -116,18 +117,31 @@
 	c.deliver()
 }
 
-func addUpstream(specs map[string]placement.Spec, v *gateway.View, u gateway.Upstream, closed bool) {
+func addUpstream(specs map[string]placement.Spec, v *gateway.View, u gateway.Upstream, closed bool, limits map[string]namedLimit) {
 	spec, ok := specs[u.Service]
 	if !ok {
 		return
 	}
-	spec.Upstreams = append(spec.Upstreams, placement.UpstreamSpec{
+	s := placement.UpstreamSpec{
 		ID: u.ID, Address: u.Address, DataCentre: u.DataCentre, Version: u.Version, Slots: u.Slots, ColdLeft: u.ColdLeft, Born: u.Born,
 		Closed: closed || v.Evacuated[u.DataCentre],
-	})
+	}
+	if l, ok := limits[u.ID]; ok {
+		s.Limit = &l.perSecond
+	}
+	spec.Upstreams = append(spec.Upstreams, s)
 	specs[u.Service] = spec
 }
 
+// SetLimit sets or, if limit is nil, lifts the limit of an upstream.
+func (c *Coordinator) SetLimit(now time.Time, upstream string, limit *float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, pool := range c.pools {
+		pool.SetLimit(now, upstream, limit)
+	}
+}
+
 // SetLimits replaces the limits. They take effect at the next Configure.
 func (c *Coordinator) SetLimits(l Limits) {
 	c.mu.Lock()
@@ -216,7 +230,7 @@
 			continue
 		}
 		service := c.asks[id].service
-		d := c.pools[service].Finish(now, placement.End{Ask: id, Outcome: e.Outcome, Latency: e.Latency, Load: e.Load})
+		d := c.pools[service].Finish(now, placement.End{Ask: id, Outcome: e.Outcome, Latency: e.Latency, Load: e.Load, Limit: e.Limit})
 		c.forget(id)
 		c.collect(d)
 	}
--- a/internal/coordinator/followers.go
+++ b/internal/coordinator/followers.go
@@ -313,6 +313,7 @@
 	l.followers[f] = struct{}{}
 	l.mu.Unlock()
 	if first {
+		l.node.adoptLimits(h.Limits)
 		l.coordinator.Adopt(now, f, h.Running)
 	}
 	l.clusterChanged(now) // before the records, because the follower joins with its first batch
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -148,7 +148,7 @@
 
 // configure applies a changed view to the pools, moves and probes. The caller holds the node's lock.
 func (l *leadership) configure(now time.Time, v *gateway.View) {
-	l.coordinator.Configure(now, v)
+	l.coordinator.Configure(now, v, l.node.namedLimits)
 	if v.Config == nil {
 		return
 	}
--- /dev/null
+++ b/internal/coordinator/limits.go
@@ -0,0 +1,81 @@
+package coordinator
+
+import (
+	"time"
+
+	"boragehinge.example/boragehinge/internal/placement"
+)
+
+// namedLimit is the limit that an upstream has named in its responses to this entry, or that another entry has told.
+type namedLimit struct {
+	perSecond float64
+	at        time.Time // when it was learned last
+}
+
+// observeLimit records the limit in a response to this entry. The leader learns it from the end of the attempt; this entry keeps it
+// for the time without a leader and for the next one. A response without a limit lifts it, unless the attempt started before the limit
+// was named last.
+func (n *Node) observeLimit(upstream string, started time.Time, o placement.Outcome, limit *float64) {
+	now := time.Now()
+	n.mu.Lock()
+	previous, known := n.namedLimits[upstream]
+	answered := o == placement.Success || o == placement.Failure
+	switch {
+	case limit != nil:
+		n.namedLimits[upstream] = namedLimit{perSecond: *limit, at: now}
+	case known && answered && started.After(previous.at):
+		delete(n.namedLimits, upstream)
+	default:
+		n.mu.Unlock()
+		return
+	}
+	n.mu.Unlock()
+	n.standalone.SetLimit(now, upstream, limit)
+	switch {
+	case limit == nil:
+		n.log.Info().Str("event", "limit").Str("upstream", upstream).Bool("named", false).Msg("belief changed")
+	case !known || previous.perSecond != *limit:
+		n.log.Info().Str("event", "limit").Str("upstream", upstream).Bool("named", true).Float64("per_second", *limit).Msg("belief changed")
+	}
+}
+
+// adoptLimits records the limits that another entry has learned, unless this one knows some for the same upstreams.
+func (n *Node) adoptLimits(limits []UpstreamLimit) {
+	now := time.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, l := range limits {
+		if _, known := n.namedLimits[l.Upstream]; known {
+			continue
+		}
+		n.namedLimits[l.Upstream] = namedLimit{perSecond: l.PerSecond, at: now}
+		n.standalone.SetLimit(now, l.Upstream, &l.PerSecond)
+		if n.leader != nil {
+			n.leader.coordinator.SetLimit(now, l.Upstream, &l.PerSecond)
+		}
+	}
+}
+
+// upstreamLimits returns the limits that this entry knows, for a new leader.
+func (n *Node) upstreamLimits() []UpstreamLimit {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	out := make([]UpstreamLimit, 0, len(n.namedLimits))
+	for id, l := range n.namedLimits {
+		out = append(out, UpstreamLimit{Upstream: id, PerSecond: l.perSecond})
+	}
+	return out
+}
+
+// forgetLimits drops the limits of upstreams that are gone. The caller holds n.mu.
+func (n *Node) forgetLimits() {
+	if len(n.view.Upstreams) == 0 {
+		return // the records are not known
+	}
+	for id := range n.namedLimits {
+		_, live := n.view.Upstreams[id]
+		if _, tombstone := n.view.Tombstones[id]; !live && !tombstone {
+			delete(n.namedLimits, id)
+		}
+	}
+}
--- a/internal/coordinator/messages_gen.go
+++ b/internal/coordinator/messages_gen.go
@@ -60,6 +60,8 @@
 	Latency time.Duration `cbor:"3,keyasint"`
 	// Load: load reported by the upstream.
 	Load *placement.Load `cbor:"4,keyasint,omitempty"`
+	// Limit: requests per second that the upstream takes from all entries, as its response named it.
+	Limit *float64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Frame is one message on the link between a follower and the leader. The follower sends Hello, asks, ends and cancels;
@@ -98,6 +100,8 @@
 	Running []Running `cbor:"3,keyasint,omitempty"`
 	// AcceptsPacked: the follower accepts compressed batches.
 	AcceptsPacked bool `cbor:"4,keyasint,omitempty"`
+	// Limits: limits of upstreams that the follower knows.
+	Limits []UpstreamLimit `cbor:"5,keyasint,omitempty"`
 }
 
 // MoveNotice reports the phase of a version move to followers, which need it to place requests without a leader.
@@ -117,3 +121,11 @@
 	// Upstream: ID of the upstream that runs it.
 	Upstream string `cbor:"2,keyasint"`
 }
+
+// UpstreamLimit is the limit that an upstream has named in its responses.
+type UpstreamLimit struct {
+	// Upstream: ID of the upstream.
+	Upstream string `cbor:"1,keyasint"`
+	// PerSecond: requests per second that it takes from all entries.
+	PerSecond float64 `cbor:"2,keyasint"`
+}
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -28,7 +28,7 @@
 	// for an ask that doesn't allow hedging.
 	Hedge  <-chan placement.Grant
 	second func(placement.Grant) *Placed
-	finish func(placement.Outcome, time.Duration, *placement.Load)
+	finish func(placement.Outcome, time.Duration, *placement.Report)
 }
 
 // Second returns the second attempt for a grant received from Hedge.
@@ -41,13 +41,16 @@
 }
 
 // NewPlaced returns a Placed whose result is reported to finish.
-func NewPlaced(g placement.Grant, finish func(placement.Outcome, time.Duration, *placement.Load)) *Placed {
+func NewPlaced(g placement.Grant, finish func(placement.Outcome, time.Duration, *placement.Report)) *Placed {
 	return &Placed{Grant: g, finish: finish}
 }
 
-// Finish reports the result of the attempt.
-func (p *Placed) Finish(outcome placement.Outcome, latency time.Duration, load *placement.Load) {
-	p.finish(outcome, latency, load)
+// Finish reports the result of the attempt. report is nil if the upstream told nothing about itself.
+func (p *Placed) Finish(outcome placement.Outcome, latency time.Duration, report *placement.Report) {
+	if report == nil {
+		report = &placement.Report{}
+	}
+	p.finish(outcome, latency, report)
 }
 
 // runningAttempt is an attempt in progress on an upstream.
@@ -127,11 +130,12 @@
 	if a.MayHedge {
 		hedge = s.hedgeChannel(a.ID)
 	}
-	p := NewPlaced(g, func(o placement.Outcome, latency time.Duration, load *placement.Load) {
+	p := NewPlaced(g, func(o placement.Outcome, latency time.Duration, report *placement.Report) {
 		if hedge != nil {
 			releaseHedge(s, a.ID, hedge)
 		}
-		n.untrack(attempt).finish(End{Ask: a.ID, Outcome: o, Latency: latency, Load: load})
+		n.observeLimit(g.Upstream, attempt.started, o, report.Limit)
+		n.untrack(attempt).finish(End{Ask: a.ID, Outcome: o, Latency: latency, Load: report.Load, Limit: report.Limit})
 	})
 	p.Mode = s.mode()
 	n.o.Metrics.placements.WithLabelValues(p.Mode).Inc()
--- a/internal/headers/headers.go
+++ b/internal/headers/headers.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/http"
+	"strconv"
 
 	"boragehinge.example/boragehinge/internal/placement"
 )
@@ -18,6 +19,7 @@
 	InstanceID     string
 	Load           string
 	ColdMs         string // remaining time of the upstream's cold start, in milliseconds
+	Limit          string // requests per second that the upstream takes from all entries together
 	// ParseLoad parses the load header. It returns nil if the value is empty or malformed.
 	ParseLoad func(string) *placement.Load
 }
@@ -35,3 +37,20 @@
 	id := resp.Header.Get(n.RequestID)
 	return id == "" || id == req.Header.Get(n.RequestID)
 }
+
+// maxLimit is the largest limit in requests per second that is believed.
+const maxLimit = 1e9
+
+// ParseLimit parses the limit header. It returns nil if the value is empty or malformed.
+func ParseLimit(value string) *float64 {
+	limit, err := strconv.ParseFloat(value, 64)
+	if err != nil || !(limit >= 0 && limit <= maxLimit) { // false for NaN too
+		return nil
+	}
+	return &limit
+}
+
+// Report returns what an upstream tells about itself in the headers of a response.
+func (n *Names) Report(h http.Header) placement.Report {
+	return placement.Report{Load: n.ParseLoad(h.Get(n.Load)), Limit: ParseLimit(h.Get(n.Limit))}
+}
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -21,7 +21,7 @@
 	resp         *transport.Response
 	bodyStart    []byte // buffered start of the response body
 	bodyComplete bool   // bodyStart is the whole body
-	load         *placement.Load
+	report       placement.Report
 	err          error // set when there is no usable response
 
 	outcome placement.Outcome // set for a failure
@@ -47,11 +47,11 @@
 	if a.err != nil {
 		var te *transport.Error
 		if errors.As(a.err, &te) && te.Header != nil {
-			a.load = x.s.opts.Names.ParseLoad(te.Header.Get(x.s.opts.Names.Load))
+			a.report = x.s.opts.Names.Report(te.Header)
 		}
 		return a
 	}
-	a.load = x.s.opts.Names.ParseLoad(a.resp.Header.Get(x.s.opts.Names.Load))
+	a.report = x.s.opts.Names.Report(a.resp.Header)
 	a.bodyStart, a.err = io.ReadAll(io.LimitReader(a.resp.Body, maxBufferedResponse+1))
 	a.bodyComplete = a.err == nil && len(a.bodyStart) <= maxBufferedResponse
 	if a.err == nil && a.resp.StatusCode < 300 && a.resp.Header.Get(x.s.opts.Names.Stamp) == "" {
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -205,7 +205,7 @@
 
 // finish reports the end of an attempt to the leader and counts it.
 func (x *exchange) finish(a *attempt, outcome placement.Outcome) {
-	a.placed.Finish(outcome, time.Since(a.started), a.load)
+	a.placed.Finish(outcome, time.Since(a.started), &a.report)
 	x.s.opts.Metrics.attempts.WithLabelValues(outcome.String()).Inc()
 }
 
@@ -213,7 +213,7 @@
 func (x *exchange) recordFailure(ctx context.Context, a *attempt) {
 	a.outcome, a.notRun = x.classify(ctx, a.err)
 	x.finish(a, a.outcome)
-	x.record("attempt", a.placed, a.outcome.String(), a.err.Error()+loadText(a.load), a.started)
+	x.record("attempt", a.placed, a.outcome.String(), a.err.Error()+loadText(a.report.Load), a.started)
 	x.exclude = append(x.exclude, a.placed.Upstream)
 	if a.notRun {
 		x.refusals++
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -78,7 +78,7 @@
 	return nil, &coordinator.RefusedError{Refusal: placement.Refusal{Reason: placement.ReasonNoUpstream, RetryAfter: 50 * time.Millisecond}}
 }
 
-func (p *placer) finish(o placement.Outcome, _ time.Duration, _ *placement.Load) {
+func (p *placer) finish(o placement.Outcome, _ time.Duration, _ *placement.Report) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.outcomes = append(p.outcomes, o.String())
--- a/internal/placement/candidates.go
+++ b/internal/placement/candidates.go
@@ -52,7 +52,7 @@
 	return candidate{
 		upstream: u, dataCentre: u.spec.DataCentre, version: u.spec.Version,
 		inService: !u.spec.Closed && u.reachable, usable: u.usable(now, p.spec.AllowUnprobed),
-		limit: p.occupancy.limit(u.spec.Slots), occupied: u.occupied(),
+		limit: p.usableSlots(now, u), occupied: u.occupied(),
 		pace: u.currentPace(now, p.averagePace), slowdown: p.startSlowdown(now, u),
 		refusalPenalty: refusalPenalty(u.currentShedRate(now)),
 		jitter:         time.Duration(p.rng.Int64N(int64(maxJitter))),
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -32,6 +32,9 @@
 	if !p.move.admits(u.spec.Version) {
 		return false
 	}
+	if u.limit.allowed(now, p.spec.LimitShare) < 1 {
+		return false
+	}
 	if u.cold(now) {
 		u.refillColdTokens(now, p.spec.coldRate())
 		return u.coldTokens >= 1
--- a/internal/placement/load_test.go
+++ b/internal/placement/load_test.go
@@ -35,6 +35,8 @@
 	hedges        int
 	shed          map[string]float64 // rate at which an upstream refuses requests, whatever its load
 	shedCount     int
+	limits        map[string]float64     // requests per second that an upstream names as its limit
+	arrivals      map[string][]time.Time // of requests, by upstream
 	results       []result
 	next          uint64
 }
@@ -93,7 +95,7 @@
 	s := &simulation{
 		noise: n, full: 1.7, probeInterval: probeInterval,
 		rng: rand.New(rand.NewPCG(1, 2)), now: epoch, pace: map[string]float64{}, running: map[string]int{}, calls: map[uint64]*simCall{},
-		shed: map[string]float64{}, base: 95 * time.Millisecond, objective: 250 * time.Millisecond, deadline: 1200 * time.Millisecond, slots: slots,
+		shed: map[string]float64{}, limits: map[string]float64{}, arrivals: map[string][]time.Time{}, base: 95 * time.Millisecond, objective: 250 * time.Millisecond, deadline: 1200 * time.Millisecond, slots: slots,
 	}
 	s.pool = New(rand.New(rand.NewPCG(3, 4)))
 	spec := Spec{ColdPerSecond: 21, ColdFactor: 1.5, ColdSlack: 5, RetryRatio: 0.2, RetryBurst: 60, RetryWindow: 10 * time.Second}
@@ -192,6 +194,7 @@
 		s.hedges++
 	}
 	started := s.now
+	s.arrivals[g.Upstream] = append(s.arrivals[g.Upstream], s.now)
 	if s.rng.Float64() < s.shed[g.Upstream] {
 		s.at(time.Millisecond, func() { s.refused(g) })
 		return
@@ -204,7 +207,7 @@
 	work := float64(s.base) * (0.7 + 0.6*s.rng.Float64()) * s.pace[g.Upstream] * saturation
 	end := func(o Outcome) {
 		s.running[g.Upstream]--
-		s.applyDecisions(s.pool.Finish(s.now, End{Ask: g.Ask, Outcome: o, Latency: s.now.Sub(started),
+		s.applyDecisions(s.pool.Finish(s.now, End{Ask: g.Ask, Outcome: o, Latency: s.now.Sub(started), Limit: s.limitOf(g.Upstream),
 			Load: &Load{Running: s.running[g.Upstream], Slots: s.slots, Pace: s.pace[g.Upstream]}}))
 	}
 	c.attempts = append(c.attempts, end)
@@ -226,6 +229,14 @@
 	})
 }
 
+// limitOf returns the limit that the responses of an upstream name, or nil.
+func (s *simulation) limitOf(id string) *float64 {
+	if limit, ok := s.limits[id]; ok {
+		return &limit
+	}
+	return nil
+}
+
 // refused ends an attempt that the upstream did not run and submits a retry.
 func (s *simulation) refused(g Grant) {
 	s.shedCount++
--- a/internal/placement/overload.go
+++ b/internal/placement/overload.go
@@ -51,7 +51,7 @@
 
 func (p *Pool) recountSlots(now time.Time) {
 	count := slotCount{at: now, slowdown: 1}
-	slots, speed := 0, 0.0
+	slots, speed := 0.0, 0.0
 	accepting := 0
 	candidates := p.currentCandidates(now)
 	for i := range candidates {
@@ -59,8 +59,13 @@
 		if !k.inService {
 			continue
 		}
-		slots += k.limit
-		count.capacity += p.occupancy.throughput(k.upstream.spec.Slots)
+		throughput := p.throughput(k.upstream)
+		count.capacity += throughput
+		if k.upstream.limit.named {
+			slots += throughput // it has fewer requests than slots, so it isn't slowed down
+		} else {
+			slots += float64(k.limit)
+		}
 		if !p.accepts(k) {
 			continue
 		}
@@ -76,7 +81,7 @@
 		}
 	}
 	if count.capacity > 0 {
-		count.slowdown = float64(slots) / count.capacity
+		count.slowdown = slots / count.capacity
 	}
 	p.slots = count
 	if count.fast.spare() {
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -60,6 +60,7 @@
 	lastSpareAt     time.Time // last time at which slots of fast upstreams were free beyond the reserve
 	// averagePace is the moving average of the pace that upstreams report in probes.
 	averagePace float64
+	averageWork time.Duration // moving average of the service times of arriving requests
 	decisions   Decisions
 }
 
@@ -137,6 +138,7 @@
 	}
 	p.move.countArrival()
 	p.arrivals.add(now, priorityLevel(c), p.serviceTime(c))
+	p.countWork(p.serviceTime(c))
 	if !p.hasCandidate(c) {
 		return p.refuse(now, c, ReasonNoUpstream)
 	}
@@ -162,6 +164,7 @@
 	if c.cold {
 		u.coldTokens--
 	}
+	u.limit.take()
 	if c.ask.Attempt > 1 {
 		p.budget.retries[p.budget.currentBucket]++
 	}
@@ -210,6 +213,7 @@
 	if p.spec.AllowUnprobed && !c.target.reachable {
 		c.target.ejectUnreachable(now) // there is no probe that would detect its recovery
 	}
+	c.target.limit.observe(now, c, e)
 	p.move.recordEnd(c, e, p.serviceTime(c))
 	if now.Before(c.target.ejectedUntil) {
 		p.limitEjections(now)
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -11,6 +11,7 @@
 	Slots                            int
 	ColdLeft                         time.Duration // remaining cold start time when Configure is called
 	Born                             int64         // changes at each start of the upstream's process
+	Limit                            *float64      // requests per second that the upstream names as its limit, for one that is new to the pool; nil if none
 	Closed                           bool          // gets no new requests, because it or its data centre is being removed
 }
 
@@ -32,6 +33,9 @@
 	AllowUnprobed bool
 	// MaxInFlight limits the concurrent requests to an upstream in addition to its slots; 0 means no such limit.
 	MaxInFlight int
+	// LimitShare is the fraction of the limits named by upstreams that this pool uses, because other entries may use the rest; 0 means
+	// the whole.
+	LimitShare float64
 }
 
 // coldRate is the token rate, in requests per second, of this pool for each cold upstream. It is ColdPerSecond, or less if the
@@ -122,12 +126,19 @@
 	Pace    float64 `cbor:"4,keyasint"` // slowdown, 1 is usual; 0 if the report has none
 }
 
+// Report is what an upstream tells about itself in a response.
+type Report struct {
+	Load  *Load    // nil if it tells none
+	Limit *float64 // requests per second that it takes from all entries together; nil if it names no limit
+}
+
 // End is the result of a granted attempt.
 type End struct {
 	Ask     uint64 // ID of the Ask
 	Outcome Outcome
 	Latency time.Duration // from the grant to the end of the response
 	Load    *Load
+	Limit   *float64 // see Report
 }
 
 // Probe is the result of a health probe.
@@ -138,6 +149,7 @@
 	WrongInstance bool // another instance answers at the upstream's address
 	ColdLeft      time.Duration
 	Load          *Load
+	Limit         *float64 // see Report
 }
 
 // Decisions are the results of one method call on a Pool. They are valid until the next call.
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -82,8 +82,10 @@
 	latencySlowdown   float64 // slowdown derived from latencies, 1 is none
 	latencySlowdownAt time.Time
 
-	failureRate     float64
-	failureSamples  int
+	failureRate    float64
+	failureSamples int
+	limit          rateLimit
+
 	ejectedUntil    time.Time
 	ejections       int       // exponent of the ejection time
 	fullUntil       time.Time // end of the backoff after a refusal because the upstream was full
@@ -101,10 +103,14 @@
 }
 
 func newUpstream(now time.Time, spec UpstreamSpec) *upstream {
-	return &upstream{
+	u := &upstream{
 		spec: spec, running: map[uint64]*call{}, pace: 1, latencySlowdown: 1, latencySlowdownAt: now, reachable: true,
 		coldUntil: now.Add(spec.ColdLeft), coldTokensAt: now,
 	}
+	if spec.Limit != nil {
+		u.limit.name(now, *spec.Limit)
+	}
+	return u
 }
 
 // reset discards the state of a previous process with the same ID, except the running calls.
@@ -209,6 +215,9 @@
 		u.healthFails++
 	}
 	u.observeLoad(now, p.Load)
+	if p.Limit != nil {
+		u.limit.name(now, *p.Limit)
+	}
 	if p.Load != nil {
 		surplus := max(0, p.Load.Running+p.Load.Waiting-len(u.running))
 		u.externalCalls = min(surplus, u.previousSurplus)
