--- a/test.sh
+++ b/test.sh
@@ -9,7 +9,7 @@
   pattern=$(awk '$1 == "test:" {printf "%s^%s$", (n++ ? "|" : ""), $3}' KNOWN-RED.txt)
   [ -n "$pattern" ] && skip=(-skip "$pattern")
 fi
-go test -race -timeout 10m ${skip[@]+"${skip[@]}"} ./... "$@"
+go test -race -count=1 -timeout 10m ${skip[@]+"${skip[@]}"} ./... "$@"
 if [ ${#skip[@]} -gt 0 ]; then
   printf '\nnot run, known to fail:\n'
   grep '^test:' KNOWN-RED.txt
