Don't keep a connection whose response names no request

Report of other operators: a faulty upstream wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for requests that it was running. Here: a copy that names the earlier request was discarded already. A refusal without an ID, on a connection that had carried no response with one, was believed when it came again. Change: where upstreams echo the ID, a connection whose response has none isn't used again, so no copy of it can be met. The stand-in echoes the ID in refusals, as the platform's upstreams do. Evidence: TestCopyOfARefusalIsNotBelieved fails for refusals without an ID before, and passes.

--- a/internal/transport/response.go
+++ b/internal/transport/response.go
@@ -77,7 +77,7 @@
 
 // answersRequest reports whether a response belongs to the request and not to an earlier one of the connection.
 func (x *exchange) answersRequest(resp *http.Response) bool {
-	identified := x.c.connPool.cfg.Identifies(resp)
+	identified := x.identified(resp)
 	if !identified && x.c.identifies || !x.c.connPool.cfg.MatchesRequest(resp, x.req) {
 		return false
 	}
@@ -85,6 +85,12 @@
 	return true
 }
 
+// identified reports whether a response names its request.
+func (x *exchange) identified(resp *http.Response) bool {
+	identifies := x.c.connPool.cfg.Identifies
+	return identifies != nil && identifies(resp)
+}
+
 type malformed struct{ error }
 
 // discardResponse reads and discards a response to another request.
@@ -111,7 +117,11 @@
 	return &rep
 }
 
+// reusable reports whether the connection may carry another request after this response.
 func (x *exchange) reusable(resp *http.Response) bool {
+	if x.c.connPool.cfg.Identifies != nil && !x.identified(resp) {
+		return false
+	}
 	return !resp.Close && resp.ProtoAtLeast(1, 1)
 }
 
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -27,8 +27,9 @@
 	// MatchesRequest reports whether a response belongs to the request. Other responses are discarded, because an
 	// upstream may answer an earlier request of the connection twice. The default accepts all.
 	MatchesRequest func(*http.Response, *http.Request) bool
-	// Identifies reports whether a response names its request. Once a connection has carried such a response, one that names
-	// none is discarded too: it may be a late copy of an earlier response. The default is false for all.
+	// Identifies reports whether a response names its request. If it is set, the connection of a response that names none is not
+	// used again, because a late copy of that response could not be told from the next one; and once a connection has carried a
+	// response that names its request, one that names none is discarded.
 	Identifies func(*http.Response) bool
 	// AcceptUndelimited accepts responses whose end is marked only by the close of the connection.
 	AcceptUndelimited bool
@@ -58,9 +59,6 @@
 	if c.MatchesRequest == nil {
 		c.MatchesRequest = func(*http.Response, *http.Request) bool { return true }
 	}
-	if c.Identifies == nil {
-		c.Identifies = func(*http.Response) bool { return false }
-	}
 	if c.peerUnreachable == nil {
 		c.peerUnreachable = peerUnreachable
 	}
--- a/internal/transport/unwanted_test.go
+++ b/internal/transport/unwanted_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -158,3 +159,39 @@
 	_, accepted := s.counts()
 	assert.Equal(t, 1, accepted)
 }
+
+// Guards against an earlier refusal that an upstream writes once more on a kept connection, after it has begun to run the next request:
+// its caller was told that the request didn't run.
+func TestCopyOfARefusalIsNotBelieved(t *testing.T) {
+	const notRun = "HTTP/1.1 503 Service Unavailable\r\nBoragehinge-Not-Run: true\r\n"
+	for name, refusal := range map[string]string{
+		"with the ID of the earlier request": notRun + idHeader + ": 1\r\nContent-Length: 0\r\n\r\n",
+		"without an ID":                      notRun + "Content-Length: 0\r\n\r\n",
+		"in chunks, without an ID":           notRun + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			var refused sync.Map // connections on which a request was refused
+			s := newRawServer(t, func(n int, c net.Conn, r *http.Request) bool {
+				if _, again := refused.Load(c); again || n == 1 {
+					_, _ = io.WriteString(c, refusal)
+				}
+				if n == 1 {
+					refused.Store(c, true)
+					return true
+				}
+				time.Sleep(20 * time.Millisecond) // the request runs
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 3\r\n\r\nran", idHeader, r.Header.Get(idHeader))
+				return true
+			})
+			tr := newTransport(t, identifyingConfig())
+			_, err := call(t, tr, s.address(), requestWithID(t, "1"))
+			require.Equal(t, UpstreamNotRun, asError(t, err).Kind, "the first refusal is true")
+			body, err := call(t, tr, s.address(), requestWithID(t, "2"))
+			if err != nil {
+				assert.Equal(t, Unknown, asError(t, err).Kind, "the request may have run")
+				return
+			}
+			assert.Equal(t, "ran", body)
+		})
+	}
+}
