Don't count a health response that breaks off

Report of other operators: an upstream stopped in the middle of the header of its response and closed; callers got a 200 framed as whole. But a probe counted such an upstream as reachable and healthy, so it kept getting requests. Change: a probe whose response breaks off counts as unanswered. Evidence: TestResponseCutInItsHeaderIsNoAnswer fails before and passes.

--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -96,7 +96,10 @@
 	if _, err := r.conn.Write(r.request); err != nil {
 		return result, fmt.Errorf("probe: %w", err)
 	}
-	return result, r.readResponse(&result)
+	if err := r.readResponse(&result); err != nil {
+		return placement.Probe{Upstream: r.target.ID}, err // what was read of a response that breaks off doesn't count
+	}
+	return result, nil
 }
 
 var errMalformed = errors.New("malformed health response")
--- a/internal/probe/probe_test.go
+++ b/internal/probe/probe_test.go
@@ -69,3 +69,14 @@
 	t.Cleanup(again.Stop)
 	waitForResult(t, results, func(r placement.Probe) bool { return r.Answered })
 }
+
+// Guards against an upstream that counts as healthy although it closes its connections in the middle of the response's header.
+func TestResponseCutInItsHeaderIsNoAnswer(t *testing.T) {
+	u, err := standin.StartUpstream("u1", "127.0.0.1:0", 6)
+	require.NoError(t, err)
+	t.Cleanup(u.Stop)
+	u.Set(standin.Behaviour{CutHead: 60})
+	result := <-startProber(t, u.Address(), "u1")
+	assert.False(t, result.Answered)
+	assert.False(t, result.Healthy)
+}
