Send nothing to upstreams that say they leave

Change: entries read the header from responses, the leader from probes too. Who learns it closes the upstream and tells the leader; an entry declines a grant for an upstream that it knows to leave, and asks again; a new leader is told by its followers. A process that starts again under the same ID is used again.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -71,22 +71,22 @@
 	}
 }
 
-// Configure applies upstreams, services and evacuated data centres to the pools. Call it when the view has changed; v and limits, by
-// upstream, are only read.
-func (c *Coordinator) Configure(now time.Time, v *gateway.View, limits map[string]namedLimit) {
+// Configure applies upstreams, services and evacuated data centres to the pools. Call it when the view or the reports of
+// upstreams have changed; both are only read.
+func (c *Coordinator) Configure(now time.Time, v *gateway.View, r *reports) {
 	if v.Config == nil {
 		return
 	}
 	began := time.Now()
 	c.mu.Lock()
-	restricted, bounds := c.restricted, c.limits
+	restricted, limits := c.restricted, c.limits
 	c.mu.Unlock()
 	specs := make(map[string]placement.Spec, len(v.Config.Services))
 	for name, s := range v.Config.Services {
 		spec := placement.Spec{
-			ColdPerSecond: s.ColdPerSecond, RetryRatio: bounds.RetryRatio, RetryBurst: bounds.RetryBurst,
-			RetryWindow: bounds.RetryWindow, BadShare: bounds.BadShare, BadSlack: bounds.BadSlack, AllowUnprobed: c.standalone,
-			ColdFactor: bounds.ColdFactor, ColdSlack: bounds.ColdSlack,
+			ColdPerSecond: s.ColdPerSecond, RetryRatio: limits.RetryRatio, RetryBurst: limits.RetryBurst,
+			RetryWindow: limits.RetryWindow, BadShare: limits.BadShare, BadSlack: limits.BadSlack, AllowUnprobed: c.standalone,
+			ColdFactor: limits.ColdFactor, ColdSlack: limits.ColdSlack,
 		}
 		if c.standalone {
 			spec.MaxInFlight = standaloneMaxInFlight
@@ -99,10 +99,10 @@
 		specs[name] = spec
 	}
 	for _, u := range v.Upstreams {
-		addUpstream(specs, v, u, u.Draining, limits)
+		addUpstream(specs, v, u, u.Draining, r)
 	}
 	for _, t := range v.Tombstones {
-		addUpstream(specs, v, t.Upstream, t.Upstream.Draining || !now.Before(t.GraceEnd), limits)
+		addUpstream(specs, v, t.Upstream, t.Upstream.Draining || !now.Before(t.GraceEnd), r)
 	}
 	c.mu.Lock()
 	for name, spec := range specs {
@@ -117,16 +117,16 @@
 	c.deliver()
 }
 
-func addUpstream(specs map[string]placement.Spec, v *gateway.View, u gateway.Upstream, closed bool, limits map[string]namedLimit) {
+func addUpstream(specs map[string]placement.Spec, v *gateway.View, u gateway.Upstream, closed bool, r *reports) {
 	spec, ok := specs[u.Service]
 	if !ok {
 		return
 	}
 	s := placement.UpstreamSpec{
 		ID: u.ID, Address: u.Address, DataCentre: u.DataCentre, Version: u.Version, Slots: u.Slots, ColdLeft: u.ColdLeft, Born: u.Born,
-		Closed: closed || v.Evacuated[u.DataCentre],
+		Closed: closed || v.Evacuated[u.DataCentre] || r.isLeaving(&u),
 	}
-	if l, ok := limits[u.ID]; ok {
+	if l, ok := r.limits[u.ID]; ok {
 		s.Limit = &l.perSecond
 	}
 	spec.Upstreams = append(spec.Upstreams, s)
--- a/internal/coordinator/followers.go
+++ b/internal/coordinator/followers.go
@@ -285,6 +285,9 @@
 	if frame.Hello != nil {
 		l.handleHello(now, f, frame.Hello)
 	}
+	if len(frame.LeavingUpstreams) > 0 {
+		l.node.markLeaving(frame.LeavingUpstreams...)
+	}
 	if len(frame.Ends) > 0 {
 		l.coordinator.Finish(now, f, frame.Ends...)
 	}
@@ -314,6 +317,7 @@
 	l.mu.Unlock()
 	if first {
 		l.node.adoptLimits(h.Limits)
+		l.node.markLeaving(h.LeavingUpstreams...)
 		l.coordinator.Adopt(now, f, h.Running)
 	}
 	l.clusterChanged(now) // before the records, because the follower joins with its first batch
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -148,7 +148,7 @@
 
 // configure applies a changed view to the pools, moves and probes. The caller holds the node's lock.
 func (l *leadership) configure(now time.Time, v *gateway.View) {
-	l.coordinator.Configure(now, v, l.node.namedLimits)
+	l.coordinator.Configure(now, v, &l.node.reports)
 	if v.Config == nil {
 		return
 	}
@@ -182,6 +182,9 @@
 	l.probes[target.ID] = &probeRun{target: target, cancel: cancel}
 	go l.node.o.Probe(ctx, target, func(p placement.Probe) {
 		l.node.o.Metrics.probed(p)
+		if p.Leaving {
+			l.node.markLeaving(p.Upstream)
+		}
 		l.coordinator.Probe(time.Now(), service, p)
 	})
 }
--- a/internal/coordinator/limits.go
+++ b/internal/coordinator/limits.go
@@ -18,13 +18,13 @@
 func (n *Node) observeLimit(upstream string, started time.Time, o placement.Outcome, limit *float64) {
 	now := time.Now()
 	n.mu.Lock()
-	previous, known := n.namedLimits[upstream]
+	previous, known := n.reports.limits[upstream]
 	answered := o == placement.Success || o == placement.Failure
 	switch {
 	case limit != nil:
-		n.namedLimits[upstream] = namedLimit{perSecond: *limit, at: now}
+		n.reports.limits[upstream] = namedLimit{perSecond: *limit, at: now}
 	case known && answered && started.After(previous.at):
-		delete(n.namedLimits, upstream)
+		delete(n.reports.limits, upstream)
 	default:
 		n.mu.Unlock()
 		return
@@ -45,10 +45,10 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, l := range limits {
-		if _, known := n.namedLimits[l.Upstream]; known {
+		if _, known := n.reports.limits[l.Upstream]; known {
 			continue
 		}
-		n.namedLimits[l.Upstream] = namedLimit{perSecond: l.PerSecond, at: now}
+		n.reports.limits[l.Upstream] = namedLimit{perSecond: l.PerSecond, at: now}
 		n.standalone.SetLimit(now, l.Upstream, &l.PerSecond)
 		if n.leader != nil {
 			n.leader.coordinator.SetLimit(now, l.Upstream, &l.PerSecond)
@@ -60,22 +60,9 @@
 func (n *Node) upstreamLimits() []UpstreamLimit {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	out := make([]UpstreamLimit, 0, len(n.namedLimits))
-	for id, l := range n.namedLimits {
+	out := make([]UpstreamLimit, 0, len(n.reports.limits))
+	for id, l := range n.reports.limits {
 		out = append(out, UpstreamLimit{Upstream: id, PerSecond: l.perSecond})
 	}
 	return out
 }
-
-// forgetLimits drops the limits of upstreams that are gone. The caller holds n.mu.
-func (n *Node) forgetLimits() {
-	if len(n.view.Upstreams) == 0 {
-		return // the records are not known
-	}
-	for id := range n.namedLimits {
-		_, live := n.view.Upstreams[id]
-		if _, tombstone := n.view.Tombstones[id]; !live && !tombstone {
-			delete(n.namedLimits, id)
-		}
-	}
-}
--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -79,7 +79,7 @@
 	slowUntil        time.Time // until then other entries are preferred as leader, because this one was short of CPU
 	checkingLeader   bool      // another entry reported the leader as lost, and a query to it is in progress
 	running          map[*runningAttempt]struct{}
-	namedLimits      map[string]namedLimit // by upstream
+	reports          reports // of upstreams
 
 	config  atomic.Pointer[gateway.Config]
 	initial initialConfig
@@ -98,8 +98,8 @@
 	o.Store = instrumentedStore{o.Store, o.Metrics}
 	n := &Node{
 		o: o, log: o.Log, started: time.Now(), view: gateway.NewView(), running: map[*runningAttempt]struct{}{},
-		namedLimits: map[string]namedLimit{},
-		standalone:  NewCoordinator(o.Limits, true), query: queryLeader,
+		reports:    newReports(),
+		standalone: NewCoordinator(o.Limits, true), query: queryLeader,
 	}
 	n.session, n.sessionChanged = newLocalSession(n.standalone), make(chan struct{})
 	n.initial.loaded = make(chan struct{})
@@ -222,8 +222,8 @@
 // configurePools applies the view to the standalone pools and, while this entry leads, to those of the leader. The caller holds
 // n.mu.
 func (n *Node) configurePools(now time.Time) {
-	n.forgetLimits()
-	n.standalone.Configure(now, n.view, n.namedLimits)
+	n.reports.forget(now, n.view)
+	n.standalone.Configure(now, n.view, &n.reports)
 	if n.leader != nil {
 		n.leader.configure(now, n.view)
 	}
--- /dev/null
+++ b/internal/coordinator/reports.go
@@ -0,0 +1,116 @@
+package coordinator
+
+import (
+	"time"
+
+	"boragehinge.example/boragehinge/internal/gateway"
+	"boragehinge.example/boragehinge/internal/placement"
+)
+
+// reports holds what upstreams have told about themselves in responses to this entry, or to others that passed it on. It is kept
+// across changes of the leader. Node.mu guards it.
+type reports struct {
+	limits  map[string]namedLimit      // by upstream
+	leaving map[string]leavingUpstream // by upstream
+}
+
+func newReports() reports {
+	return reports{limits: map[string]namedLimit{}, leaving: map[string]leavingUpstream{}}
+}
+
+// leavingUpstream is an upstream that has told that it leaves.
+type leavingUpstream struct {
+	born int64 // see gateway.Upstream; 0 when unknown
+	at   time.Time
+}
+
+// isLeaving reports whether the process that u describes has told that it leaves.
+func (r *reports) isLeaving(u *gateway.Upstream) bool {
+	l, told := r.leaving[u.ID]
+	return told && (l.born == 0 || u.Born == 0 || l.born == u.Born)
+}
+
+// leavingMemory is how long an upstream without a record is remembered as leaving. It has ended by then.
+const leavingMemory = 10 * time.Minute
+
+// forget drops what no longer matters: the limits of upstreams that are gone, and the leaving of processes that were replaced or must
+// have ended. It does nothing while the records of the upstreams are not known.
+func (r *reports) forget(now time.Time, v *gateway.View) {
+	if len(v.Upstreams) == 0 {
+		return
+	}
+	for id := range r.limits {
+		_, live := v.Upstreams[id]
+		if _, tombstone := v.Tombstones[id]; !live && !tombstone {
+			delete(r.limits, id)
+		}
+	}
+	for id, l := range r.leaving {
+		u, known := v.Upstreams[id]
+		if known && !r.isLeaving(&u) || !known && now.Sub(l.at) > leavingMemory {
+			delete(r.leaving, id)
+		}
+	}
+}
+
+// observeReport records what an upstream told in the response to an attempt of this entry.
+func (n *Node) observeReport(upstream string, started time.Time, o placement.Outcome, r *placement.Report) {
+	n.observeLimit(upstream, started, o, r.Limit)
+	if r.Leaving {
+		n.markLeaving(upstream)
+	}
+}
+
+// markLeaving records that upstreams leave, closes them in the pools and tells the leader. The records in the store may tell it later or
+// never.
+func (n *Node) markLeaving(upstreams ...string) {
+	now := time.Now()
+	n.mu.Lock()
+	var marked []string
+	for _, id := range upstreams {
+		u, known := n.view.Upstreams[id]
+		if !known {
+			u.ID = id
+		}
+		if n.reports.isLeaving(&u) {
+			continue
+		}
+		n.reports.leaving[id] = leavingUpstream{born: u.Born, at: now}
+		marked = append(marked, id)
+	}
+	if len(marked) > 0 {
+		n.configurePools(now)
+	}
+	s := n.session
+	n.mu.Unlock()
+	if len(marked) == 0 {
+		return
+	}
+	n.log.Info().Str("event", "leaving").Strs("upstreams", marked).Msg("belief changed")
+	if link, ok := s.(*linkSession); ok {
+		link.link.Queue(func(f *Frame) { f.LeavingUpstreams = append(f.LeavingUpstreams, marked...) })
+	}
+}
+
+// leavingUpstreams returns the IDs of the upstreams that have told that they leave, for a new leader.
+func (n *Node) leavingUpstreams() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	out := make([]string, 0, len(n.reports.leaving))
+	for id := range n.reports.leaving {
+		out = append(out, id)
+	}
+	return out
+}
+
+// avoids reports whether this entry must not send a request to an upstream, although the leader granted it: the leader may not have
+// learned yet what the upstream told this entry.
+func (n *Node) avoids(upstream string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	u, known := n.view.Upstreams[upstream]
+	if !known {
+		u.ID = upstream
+	}
+	return n.reports.isLeaving(&u)
+}
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,7 +32,7 @@
 	finish func(placement.Outcome, time.Duration, *placement.Report)
 }
 
-// Second returns the second attempt for a grant received from Hedge.
+// Second returns the second attempt for a grant received from Hedge, or nil if the upstream must not be used.
 func (p *Placed) Second(g placement.Grant) *Placed { return p.second(g) }
 
 // WithHedge enables a hedged second attempt for p, and returns p.
@@ -96,6 +97,11 @@
 			if r.refusal != nil {
 				return nil, &RefusedError{*r.refusal}
 			}
+			if n.avoids(r.grant.Upstream) {
+				n.decline(s, r.grant)
+				a.Exclude = append(slices.Clone(a.Exclude), r.grant.Upstream)
+				continue
+			}
 			return n.track(s, a, r.grant), nil
 		case <-ctx.Done():
 			s.cancel(a.ID)
@@ -106,6 +112,12 @@
 	}
 }
 
+// decline returns the slot of a grant that this entry doesn't use.
+func (n *Node) decline(s session, g placement.Grant) {
+	s.forgetHedge(g.Ask)
+	s.finish(End{Ask: g.Ask, Outcome: placement.Cancelled})
+}
+
 // lateGrantTimeout is how long to wait for a grant that may be in transit when the ask is cancelled.
 const lateGrantTimeout = time.Second
 
@@ -134,7 +146,7 @@
 		if hedge != nil {
 			releaseHedge(s, a.ID, hedge)
 		}
-		n.observeLimit(g.Upstream, attempt.started, o, report.Limit)
+		n.observeReport(g.Upstream, attempt.started, o, report)
 		n.untrack(attempt).finish(End{Ask: a.ID, Outcome: o, Latency: latency, Load: report.Load, Limit: report.Limit})
 	})
 	p.Mode = s.mode()
@@ -143,6 +155,10 @@
 		return p
 	}
 	return p.WithHedge(hedge, func(g placement.Grant) *Placed {
+		if n.avoids(g.Upstream) {
+			n.decline(s, g)
+			return nil
+		}
 		second := a
 		second.ID, second.MayHedge, second.Attempt = placement.HedgeOf(a.ID), false, a.Attempt+1
 		return n.track(s, second, g)
--- a/internal/headers/headers.go
+++ b/internal/headers/headers.go
@@ -19,6 +19,7 @@
 	InstanceID     string
 	Load           string
 	ColdMs         string // remaining time of the upstream's cold start, in milliseconds
+	Leaving        string // set to LeavingValue by an upstream that shuts down
 	Limit          string // requests per second that the upstream takes from all entries together
 	// ParseLoad parses the load header. It returns nil if the value is empty or malformed.
 	ParseLoad func(string) *placement.Load
@@ -50,7 +51,12 @@
 	return &limit
 }
 
+// LeavingValue is the value of the leaving header.
+const LeavingValue = "1"
+
 // Report returns what an upstream tells about itself in the headers of a response.
 func (n *Names) Report(h http.Header) placement.Report {
-	return placement.Report{Load: n.ParseLoad(h.Get(n.Load)), Limit: ParseLimit(h.Get(n.Limit))}
+	return placement.Report{
+		Load: n.ParseLoad(h.Get(n.Load)), Limit: ParseLimit(h.Get(n.Limit)), Leaving: h.Get(n.Leaving) == LeavingValue,
+	}
 }
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -78,6 +78,9 @@
 		return a
 	case grant := <-p.Hedge:
 		hedge := p.Second(grant)
+		if hedge == nil {
+			return <-results
+		}
 		x.logPlacement(hedge, time.Now())
 		cancelSecond := x.startAttempt(ctx, hedge, results)
 		a := <-results
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -130,6 +130,8 @@
 type Report struct {
 	Load  *Load    // nil if it tells none
 	Limit *float64 // requests per second that it takes from all entries together; nil if it names no limit
+	// Leaving says that it shuts down and takes no new requests soon.
+	Leaving bool
 }
 
 // End is the result of a granted attempt.
@@ -150,6 +152,7 @@
 	ColdLeft      time.Duration
 	Load          *Load
 	Limit         *float64 // see Report
+	Leaving       bool     // see Report
 }
 
 // Decisions are the results of one method call on a Pool. They are valid until the next call.
--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -138,6 +138,8 @@
 			if ms, err := strconv.ParseFloat(string(value), 64); err == nil && ms > 0 {
 				result.ColdLeft = time.Duration(ms * float64(time.Millisecond))
 			}
+		case equalName(name, r.prober.Headers.Leaving):
+			result.Leaving = string(value) == headers.LeavingValue
 		case equalName(name, r.prober.Headers.Limit):
 			result.Limit = headers.ParseLimit(string(value))
 		case equalName(name, "Content-Length"):
