Keep the pauses that upstreams ask for

Change: the entry keeps the pause, excludes the upstream in its asks, and declines a grant that crosses it. Other entries may go on. When no upstream is left, callers are refused at once and told when the first pause ends.

--- a/internal/coordinator/avoid_test.go
+++ b/internal/coordinator/avoid_test.go
@@ -68,3 +68,43 @@
 	require.NoError(t, err)
 	p.Finish(placement.Success, time.Millisecond, nil)
 }
+
+// Guards against requests to an upstream that has turned one of this entry away and asked for a pause: at the leader, at a follower and
+// without a leader. Other entries may go on.
+func TestRequestedPausesAreKept(t *testing.T) {
+	const pauseTime = 700 * time.Millisecond
+	c := startCluster(t, 3)
+	follower := without(c.members, c.leader())[0]
+	for name, m := range map[string]*member{"leader": c.leader(), "follower": follower} {
+		t.Run(name, func(t *testing.T) {
+			p, err := place(t, m.node)
+			require.NoError(t, err)
+			refused := time.Now()
+			p.Finish(placement.NotRun, time.Millisecond, &placement.Report{RetryAfter: pauseTime, Load: &placement.Load{Slots: 6}})
+			used := 0
+			for time.Since(refused) < pauseTime-100*time.Millisecond {
+				used += upstreamsUsed(t, m.node, 10)[p.Upstream]
+			}
+			assert.Zero(t, used)
+			// An upstream that has refused a request is used less at first.
+			c.eventually("it is used after the pause", 5*time.Second, func() bool { return upstreamsUsed(t, m.node, 100)[p.Upstream] > 0 })
+		})
+	}
+}
+
+// Guards against requests that wait although all upstreams of their service have asked for a pause: they are refused at once, and
+// told when the first pause ends.
+func TestRequestsAreRefusedWhileAllUpstreamsPause(t *testing.T) {
+	n, store := newStartedNode(t)
+	store.PutUpstream("u", "v1", 9000, 1)
+	require.NotNil(t, n.AwaitConfig(t.Context(), 10*time.Second))
+	p, err := place(t, n)
+	require.NoError(t, err)
+	p.Finish(placement.NotRun, time.Millisecond, &placement.Report{RetryAfter: time.Second})
+	began := time.Now()
+	_, err = place(t, n)
+	var refused *RefusedError
+	require.ErrorAs(t, err, &refused)
+	assert.Less(t, time.Since(began), 200*time.Millisecond)
+	assert.InDelta(t, time.Second, refused.RetryAfter, float64(200*time.Millisecond))
+}
--- a/internal/coordinator/reports.go
+++ b/internal/coordinator/reports.go
@@ -12,10 +12,12 @@
 type reports struct {
 	limits  map[string]namedLimit      // by upstream
 	leaving map[string]leavingUpstream // by upstream
+	// pauses holds the ends of the pauses that upstreams have asked this entry for. Other entries may go on.
+	pauses map[string]time.Time // by upstream
 }
 
 func newReports() reports {
-	return reports{limits: map[string]namedLimit{}, leaving: map[string]leavingUpstream{}}
+	return reports{limits: map[string]namedLimit{}, leaving: map[string]leavingUpstream{}, pauses: map[string]time.Time{}}
 }
 
 // leavingUpstream is an upstream that has told that it leaves.
@@ -59,6 +61,36 @@
 	if r.Leaving {
 		n.markLeaving(upstream)
 	}
+	if r.RetryAfter > 0 {
+		n.pauseUpstream(upstream, r.RetryAfter)
+	}
+}
+
+// pauseUpstream sends no requests to an upstream for some time, as it has asked.
+func (n *Node) pauseUpstream(upstream string, d time.Duration) {
+	until := time.Now().Add(d)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if until.After(n.reports.pauses[upstream]) {
+		n.reports.pauses[upstream] = until
+	}
+}
+
+// pausedUpstreams returns the upstreams that have asked this entry for a pause, and when the first pause ends.
+func (n *Node) pausedUpstreams(now time.Time) (paused []string, firstEnd time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for id, until := range n.reports.pauses {
+		if !now.Before(until) {
+			delete(n.reports.pauses, id)
+			continue
+		}
+		paused = append(paused, id)
+		if firstEnd.IsZero() || until.Before(firstEnd) {
+			firstEnd = until
+		}
+	}
+	return paused, firstEnd
 }
 
 // markLeaving records that upstreams leave, closes them in the pools and tells the leader. The records in the store may tell it later or
@@ -112,5 +144,5 @@
 	if !known {
 		u.ID = upstream
 	}
-	return n.reports.isLeaving(&u)
+	return n.reports.isLeaving(&u) || time.Now().Before(n.reports.pauses[upstream])
 }
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -83,9 +83,12 @@
 
 // Place waits until an upstream is granted. The error is a *RefusedError or that of the context.
 func (n *Node) Place(ctx context.Context, a Ask, objective, deadline time.Time) (*Placed, error) {
+	exclude := a.Exclude
 	for {
 		s := n.usableSession(ctx)
 		now := time.Now()
+		paused, pauseEnd := n.pausedUpstreams(now)
+		a.Exclude = slices.Concat(exclude, paused)
 		a.ID = n.nextID.Add(1)
 		a.ObjectiveLeft, a.DeadlineLeft = objective.Sub(now), deadline.Sub(now)
 		answer := s.submit(a)
@@ -95,11 +98,11 @@
 				continue // the leader was lost: submit again to the new session
 			}
 			if r.refusal != nil {
-				return nil, &RefusedError{*r.refusal}
+				return nil, refusedUntil(*r.refusal, pauseEnd.Sub(now))
 			}
 			if n.avoids(r.grant.Upstream) {
 				n.decline(s, r.grant)
-				a.Exclude = append(slices.Clone(a.Exclude), r.grant.Upstream)
+				exclude = append(slices.Clone(exclude), r.grant.Upstream)
 				continue
 			}
 			return n.track(s, a, r.grant), nil
@@ -112,6 +115,15 @@
 	}
 }
 
+// refusedUntil returns the error for a refusal. If there was no upstream because some have asked for a pause, a retry is useful when the
+// first of the pauses ends.
+func refusedUntil(r placement.Refusal, pause time.Duration) *RefusedError {
+	if r.Reason == placement.ReasonNoUpstream {
+		r.RetryAfter = max(r.RetryAfter, pause)
+	}
+	return &RefusedError{r}
+}
+
 // decline returns the slot of a grant that this entry doesn't use.
 func (n *Node) decline(s session, g placement.Grant) {
 	s.forgetHedge(g.Ask)
--- a/internal/headers/headers.go
+++ b/internal/headers/headers.go
@@ -5,6 +5,7 @@
 import (
 	"net/http"
 	"strconv"
+	"time"
 
 	"boragehinge.example/boragehinge/internal/placement"
 )
@@ -54,9 +55,25 @@
 // LeavingValue is the value of the leaving header.
 const LeavingValue = "1"
 
+// maxRetryAfter is the longest pause that an upstream may ask for.
+const maxRetryAfter = 5 * time.Minute
+
+// parseRetryAfter parses a number of seconds. It returns 0 if the value is empty or malformed.
+func parseRetryAfter(value string) time.Duration {
+	seconds, err := strconv.ParseFloat(value, 64)
+	if err != nil || !(seconds > 0) { // false for NaN too
+		return 0
+	}
+	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
+}
+
 // Report returns what an upstream tells about itself in the headers of a response.
-func (n *Names) Report(h http.Header) placement.Report {
-	return placement.Report{
+func (n *Names) Report(status int, h http.Header) placement.Report {
+	r := placement.Report{
 		Load: n.ParseLoad(h.Get(n.Load)), Limit: ParseLimit(h.Get(n.Limit)), Leaving: h.Get(n.Leaving) == LeavingValue,
 	}
+	if status == http.StatusServiceUnavailable {
+		r.RetryAfter = parseRetryAfter(h.Get("Retry-After"))
+	}
+	return r
 }
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -47,11 +47,11 @@
 	if a.err != nil {
 		var te *transport.Error
 		if errors.As(a.err, &te) && te.Header != nil {
-			a.report = x.s.opts.Names.Report(te.Header)
+			a.report = x.s.opts.Names.Report(te.Status, te.Header)
 		}
 		return a
 	}
-	a.report = x.s.opts.Names.Report(a.resp.Header)
+	a.report = x.s.opts.Names.Report(a.resp.StatusCode, a.resp.Header)
 	a.bodyStart, a.err = io.ReadAll(io.LimitReader(a.resp.Body, maxBufferedResponse+1))
 	a.bodyComplete = a.err == nil && len(a.bodyStart) <= maxBufferedResponse
 	if a.err == nil && a.resp.StatusCode < 300 && a.resp.Header.Get(x.s.opts.Names.Stamp) == "" {
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -132,6 +132,8 @@
 	Limit *float64 // requests per second that it takes from all entries together; nil if it names no limit
 	// Leaving says that it shuts down and takes no new requests soon.
 	Leaving bool
+	// RetryAfter is the time for which it wants no requests from the entry that it has refused one of; 0 if it names none.
+	RetryAfter time.Duration
 }
 
 // End is the result of a granted attempt.
