--- a/internal/placement/load_test.go
+++ b/internal/placement/load_test.go
@@ -364,18 +364,31 @@
 	assert.Less(t, late, 0.02)
 }
 
+// newPool returns a pool of upstreams with the IDs 0, 1 and so on, which no probe has reached yet.
+func newPool(upstreams, slots int) *Pool {
+	p := New(rand.New(rand.NewPCG(1, 1)))
+	spec := Spec{RetryWindow: time.Second}
+	for i := range upstreams {
+		id := fmt.Sprint(i)
+		spec.Upstreams = append(spec.Upstreams, UpstreamSpec{ID: id, Address: id, DataCentre: "z", Slots: slots})
+	}
+	p.Configure(epoch, spec)
+	return p
+}
+
+// probeAll reports that all upstreams are healthy and not slowed down.
+func probeAll(p *Pool) {
+	for id := range p.upstreams {
+		p.Probe(epoch, Probe{Upstream: id, Answered: true, Healthy: true, Load: &Load{Pace: 1}})
+	}
+}
+
 // Guards against a cost per event that grows with the queue: while the free upstreams were too slow for the queued calls, each
 // event compared every call with every upstream. The leader had no time left for probes, so that reported paces were 489 ms
 // old (scale-1 of hokusei-gw).
 func TestCostOfAnEventDoesNotGrowWithTheQueue(t *testing.T) {
 	measure := func(waiting int) time.Duration {
-		p := New(rand.New(rand.NewPCG(1, 1)))
-		spec := Spec{RetryWindow: time.Second}
-		for i := range 30 {
-			id := fmt.Sprint(i)
-			spec.Upstreams = append(spec.Upstreams, UpstreamSpec{ID: id, Address: id, DataCentre: "z", Slots: 20})
-		}
-		p.Configure(epoch, spec)
+		p := newPool(30, 20)
 		p.base["r"] = 10 * time.Millisecond
 		probe := func(i int, pace float64) {
 			p.Probe(epoch, Probe{Upstream: fmt.Sprint(i % 30), Answered: true, Healthy: true, Load: &Load{Pace: pace}})
@@ -406,16 +419,8 @@
 // Guards against a cost per request that grows with the number of upstreams (sweep to 300 hosts: 3,000 upstreams).
 func TestCostOfARequestDoesNotGrowWithTheUpstreams(t *testing.T) {
 	measure := func(upstreams int) time.Duration {
-		p := New(rand.New(rand.NewPCG(1, 1)))
-		spec := Spec{RetryWindow: time.Second}
-		for i := range upstreams {
-			id := fmt.Sprint(i)
-			spec.Upstreams = append(spec.Upstreams, UpstreamSpec{ID: id, Address: id, DataCentre: "z", Slots: 6})
-		}
-		p.Configure(epoch, spec)
-		for _, u := range spec.Upstreams {
-			p.Probe(epoch, Probe{Upstream: u.ID, Answered: true, Healthy: true, Load: &Load{Pace: 1}})
-		}
+		p := newPool(upstreams, 6)
+		probeAll(p)
 		start := time.Now()
 		for i := range uint64(400) {
 			p.Submit(epoch, Ask{ID: i + 1, Route: "r", DataCentre: "z", Objective: epoch.Add(time.Second), Deadline: epoch.Add(time.Minute)})
@@ -462,17 +467,9 @@
 func TestCostOfAStartDoesNotGrowWithTheQueue(t *testing.T) {
 	const starts = 2000
 	measure := func(waiting int) time.Duration {
-		p := New(rand.New(rand.NewPCG(1, 1)))
-		spec := Spec{RetryWindow: time.Second}
-		for i := range 30 {
-			id := fmt.Sprint(i)
-			spec.Upstreams = append(spec.Upstreams, UpstreamSpec{ID: id, Address: id, DataCentre: "z", Slots: 20})
-		}
-		p.Configure(epoch, spec)
+		p := newPool(30, 20)
 		p.base["r"] = time.Millisecond
-		for _, u := range spec.Upstreams {
-			p.Probe(epoch, Probe{Upstream: u.ID, Answered: true, Healthy: true, Load: &Load{Pace: 1}})
-		}
+		probeAll(p)
 		var running []uint64
 		submit := func(id uint64) {
 			d := p.Submit(epoch, Ask{ID: id, Route: "r", DataCentre: "z", Priority: int(id % 3), Objective: epoch.Add(time.Duration(10+id%7) * time.Second), Deadline: epoch.Add(time.Minute)})
