Don't count ineligible upstreams as compared

Cause: found in review. A search stops after 128 open upstreams; those of a version on trial, cold ones without tokens and excluded ones counted, so with half of the upstreams on trial a search compared 64. Change: what isn't admitted is skipped, and what turns out ineligible isn't counted. Measured: the costs of TestCostOf* are unchanged.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -100,19 +100,21 @@
 	lowest      time.Duration // cost of best
 }
 
-// compare continues the search with the given candidates until maxCompared open ones were compared.
+// compare continues the search with the given candidates until maxCompared were compared. Those found to be ineligible don't count.
 func (s *search) compare(candidates []candidate) {
 	for i := range candidates {
 		k := &candidates[i]
-		if !k.open() || s.version != "" && k.version != s.version {
+		if !k.open() || s.version != "" && k.version != s.version || !s.pool.move.admits(k.version) {
 			continue
 		}
 		if s.compared >= maxCompared {
 			return
 		}
-		cost := s.cost(k)
-		// The exact check comes last, because it takes longer.
-		if cost < s.lowest && s.pool.eligible(s.now, s.call, k.upstream) {
+		if cost := s.cost(k); cost < s.lowest {
+			// The exact check comes last, because it takes longer.
+			if !s.pool.eligible(s.now, s.call, k.upstream) {
+				continue
+			}
 			s.best, s.lowest = k.upstream, cost
 		}
 		s.compared++
--- a/internal/placement/limit.go
+++ b/internal/placement/limit.go
@@ -63,7 +63,7 @@
 	}
 }
 
-// observe updates the limit with the response to a call. A response without a limit lifts it, unless the call started before the
+// observe updates the limit with the result of a call. A response without a limit lifts it, unless the call started before the
 // limit was named last, because responses may overtake each other.
 func (l *rateLimit) observe(now time.Time, c *call, e End) {
 	switch {
