Tell which process of an upstream leaves

An ID may be used again by a new process, and an entry without upstream records can't tell them apart; a new leader that it told about the old process closed the new one for good. Change: grants carry the start time of the process, and so do the messages about leaving upstreams. Evidence: TestUpstreamsThatSayTheyLeaveGetNoRequests and TestARestartedUpstreamIsUsedAgain pass.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -124,7 +124,7 @@
 	}
 	s := placement.UpstreamSpec{
 		ID: u.ID, Address: u.Address, DataCentre: u.DataCentre, Version: u.Version, Slots: u.Slots, ColdLeft: u.ColdLeft, Born: u.Born,
-		Closed: closed || v.Evacuated[u.DataCentre] || r.isLeaving(&u),
+		Closed: closed || v.Evacuated[u.DataCentre] || r.isLeaving(u.ID, u.Born),
 	}
 	if l, ok := r.limits[u.ID]; ok {
 		s.Limit = &l.perSecond
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -157,7 +157,7 @@
 	services := make(map[string]string, len(v.Upstreams))
 	for id, u := range v.Upstreams {
 		if s, ok := v.Config.Services[u.Service]; ok {
-			wanted[id] = ProbeTarget{ID: id, Address: u.Address, HealthPath: s.HealthPath}
+			wanted[id] = ProbeTarget{ID: id, Born: u.Born, Address: u.Address, HealthPath: s.HealthPath}
 			services[id] = u.Service
 		}
 	}
@@ -183,7 +183,7 @@
 	go l.node.o.Probe(ctx, target, func(p placement.Probe) {
 		l.node.o.Metrics.probed(p)
 		if p.Leaving {
-			l.node.markLeaving(p.Upstream)
+			l.node.markLeaving(LeavingUpstream{Upstream: target.ID, Born: target.Born})
 		}
 		l.coordinator.Probe(time.Now(), service, p)
 	})
--- a/internal/coordinator/messages_gen.go
+++ b/internal/coordinator/messages_gen.go
@@ -88,8 +88,8 @@
 	Moves []MoveNotice `cbor:"10,keyasint,omitempty"`
 	// Packed: like Batches, each encoded and compressed with DEFLATE; sent to followers that accept them.
 	Packed [][]byte `cbor:"11,keyasint,omitempty"`
-	// LeavingUpstreams: IDs of upstreams that have told the follower that they leave.
-	LeavingUpstreams []string `cbor:"12,keyasint,omitempty"`
+	// LeavingUpstreams: upstreams that have told the follower that they leave.
+	LeavingUpstreams []LeavingUpstream `cbor:"12,keyasint,omitempty"`
 }
 
 // Hello is the first message of a follower on a link. It is sent again when the state of the follower changes.
@@ -104,8 +104,16 @@
 	AcceptsPacked bool `cbor:"4,keyasint,omitempty"`
 	// Limits: limits of upstreams that the follower knows.
 	Limits []UpstreamLimit `cbor:"5,keyasint,omitempty"`
-	// LeavingUpstreams: IDs of upstreams that have told that they leave.
-	LeavingUpstreams []string `cbor:"6,keyasint,omitempty"`
+	// LeavingUpstreams: upstreams that have told that they leave.
+	LeavingUpstreams []LeavingUpstream `cbor:"6,keyasint,omitempty"`
+}
+
+// LeavingUpstream is a process of an upstream that has told in a response that it leaves.
+type LeavingUpstream struct {
+	// Upstream: ID of the upstream.
+	Upstream string `cbor:"1,keyasint"`
+	// Born: start time of the process in Unix milliseconds, since an ID may be used again; 0 when unknown.
+	Born int64 `cbor:"2,keyasint"`
 }
 
 // MoveNotice reports the phase of a version move to followers, which need it to place requests without a leader.
--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -35,6 +35,7 @@
 // ProbeTarget is an upstream to probe.
 type ProbeTarget struct {
 	ID, Address, HealthPath string
+	Born                    int64 // see gateway.Upstream
 }
 
 // Options configure a Node.
--- a/internal/coordinator/reports.go
+++ b/internal/coordinator/reports.go
@@ -10,26 +10,26 @@
 // reports holds what upstreams have told about themselves in responses to this entry, or to others that passed it on. It is kept
 // across changes of the leader. Node.mu guards it.
 type reports struct {
-	limits  map[string]namedLimit      // by upstream
-	leaving map[string]leavingUpstream // by upstream
+	limits  map[string]namedLimit     // by upstream
+	leaving map[string]leavingProcess // by upstream
 	// pauses holds the ends of the pauses that upstreams have asked this entry for. Other entries may go on.
 	pauses map[string]time.Time // by upstream
 }
 
 func newReports() reports {
-	return reports{limits: map[string]namedLimit{}, leaving: map[string]leavingUpstream{}, pauses: map[string]time.Time{}}
+	return reports{limits: map[string]namedLimit{}, leaving: map[string]leavingProcess{}, pauses: map[string]time.Time{}}
 }
 
-// leavingUpstream is an upstream that has told that it leaves.
-type leavingUpstream struct {
+// leavingProcess is the process of an upstream that has told that it leaves.
+type leavingProcess struct {
 	born int64 // see gateway.Upstream; 0 when unknown
 	at   time.Time
 }
 
-// isLeaving reports whether the process that u describes has told that it leaves.
-func (r *reports) isLeaving(u *gateway.Upstream) bool {
-	l, told := r.leaving[u.ID]
-	return told && (l.born == 0 || u.Born == 0 || l.born == u.Born)
+// isLeaving reports whether the process of an upstream that started at born has told that it leaves.
+func (r *reports) isLeaving(upstream string, born int64) bool {
+	l, told := r.leaving[upstream]
+	return told && (l.born == 0 || born == 0 || l.born == born)
 }
 
 // leavingMemory is how long an upstream without a record is remembered as leaving. It has ended by then.
@@ -49,20 +49,20 @@
 	}
 	for id, l := range r.leaving {
 		u, known := v.Upstreams[id]
-		if known && !r.isLeaving(&u) || !known && now.Sub(l.at) > leavingMemory {
+		if known && !r.isLeaving(id, u.Born) || !known && now.Sub(l.at) > leavingMemory {
 			delete(r.leaving, id)
 		}
 	}
 }
 
 // observeReport records what an upstream told in the response to an attempt of this entry.
-func (n *Node) observeReport(upstream string, started time.Time, o placement.Outcome, r *placement.Report) {
-	n.observeLimit(upstream, started, o, r.Limit)
+func (n *Node) observeReport(g placement.Grant, started time.Time, o placement.Outcome, r *placement.Report) {
+	n.observeLimit(g.Upstream, started, o, r.Limit)
 	if r.Leaving {
-		n.markLeaving(upstream)
+		n.markLeaving(LeavingUpstream{Upstream: g.Upstream, Born: g.Born})
 	}
 	if r.RetryAfter > 0 {
-		n.pauseUpstream(upstream, r.RetryAfter)
+		n.pauseUpstream(g.Upstream, r.RetryAfter)
 	}
 }
 
@@ -95,20 +95,16 @@
 
 // markLeaving records that upstreams leave, closes them in the pools and tells the leader. The records in the store may tell it later or
 // never.
-func (n *Node) markLeaving(upstreams ...string) {
+func (n *Node) markLeaving(upstreams ...LeavingUpstream) {
 	now := time.Now()
 	n.mu.Lock()
-	var marked []string
-	for _, id := range upstreams {
-		u, known := n.view.Upstreams[id]
-		if !known {
-			u.ID = id
-		}
-		if n.reports.isLeaving(&u) {
+	var marked []LeavingUpstream
+	for _, u := range upstreams {
+		if n.reports.isLeaving(u.Upstream, u.Born) {
 			continue
 		}
-		n.reports.leaving[id] = leavingUpstream{born: u.Born, at: now}
-		marked = append(marked, id)
+		n.reports.leaving[u.Upstream] = leavingProcess{born: u.Born, at: now}
+		marked = append(marked, u)
 	}
 	if len(marked) > 0 {
 		n.configurePools(now)
@@ -118,31 +114,29 @@
 	if len(marked) == 0 {
 		return
 	}
-	n.log.Info().Str("event", "leaving").Strs("upstreams", marked).Msg("belief changed")
+	for _, u := range marked {
+		n.log.Info().Str("event", "leaving").Str("upstream", u.Upstream).Int64("born", u.Born).Msg("belief changed")
+	}
 	if link, ok := s.(*linkSession); ok {
 		link.link.Queue(func(f *Frame) { f.LeavingUpstreams = append(f.LeavingUpstreams, marked...) })
 	}
 }
 
-// leavingUpstreams returns the IDs of the upstreams that have told that they leave, for a new leader.
-func (n *Node) leavingUpstreams() []string {
+// leavingUpstreams returns the upstreams that have told that they leave, for a new leader.
+func (n *Node) leavingUpstreams() []LeavingUpstream {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	out := make([]string, 0, len(n.reports.leaving))
-	for id := range n.reports.leaving {
-		out = append(out, id)
+	out := make([]LeavingUpstream, 0, len(n.reports.leaving))
+	for id, l := range n.reports.leaving {
+		out = append(out, LeavingUpstream{Upstream: id, Born: l.born})
 	}
 	return out
 }
 
-// avoids reports whether this entry must not send a request to an upstream, although the leader granted it: the leader may not have
-// learned yet what the upstream told this entry.
-func (n *Node) avoids(upstream string) bool {
+// avoids reports whether this entry must not use a grant, because the leader may not have learned yet what the upstream told this
+// entry.
+func (n *Node) avoids(g placement.Grant) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	u, known := n.view.Upstreams[upstream]
-	if !known {
-		u.ID = upstream
-	}
-	return n.reports.isLeaving(&u) || time.Now().Before(n.reports.pauses[upstream])
+	return n.reports.isLeaving(g.Upstream, g.Born) || time.Now().Before(n.reports.pauses[g.Upstream])
 }
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -100,7 +100,7 @@
 			if r.refusal != nil {
 				return nil, refusedUntil(*r.refusal, pauseEnd.Sub(now))
 			}
-			if n.avoids(r.grant.Upstream) {
+			if n.avoids(r.grant) {
 				n.decline(s, r.grant)
 				exclude = append(slices.Clone(exclude), r.grant.Upstream)
 				continue
@@ -158,7 +158,7 @@
 		if hedge != nil {
 			releaseHedge(s, a.ID, hedge)
 		}
-		n.observeReport(g.Upstream, attempt.started, o, report)
+		n.observeReport(g, attempt.started, o, report)
 		n.untrack(attempt).finish(End{Ask: a.ID, Outcome: o, Latency: latency, Load: report.Load, Limit: report.Limit})
 	})
 	p.Mode = s.mode()
@@ -167,7 +167,7 @@
 		return p
 	}
 	return p.WithHedge(hedge, func(g placement.Grant) *Placed {
-		if n.avoids(g.Upstream) {
+		if n.avoids(g) {
 			n.decline(s, g)
 			return nil
 		}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -173,7 +173,7 @@
 	p.updateCandidate(now, u)
 	p.move.countPlacement(u.spec.Version)
 	p.decisions.Grants = append(p.decisions.Grants, Grant{
-		Ask: c.ask.ID, Upstream: u.spec.ID, Address: u.spec.Address, Cold: c.cold, Pace: u.pace, PaceAge: ageOf(now, u.paceAt),
+		Ask: c.ask.ID, Upstream: u.spec.ID, Born: u.spec.Born, Address: u.spec.Address, Cold: c.cold, Pace: u.pace, PaceAge: ageOf(now, u.paceAt),
 		Waited: now.Sub(c.queuedAt), Running: len(u.running),
 	})
 }
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -69,6 +69,7 @@
 type Grant struct {
 	Ask      uint64 // ID of the Ask
 	Upstream string
+	Born     int64 `cbor:",omitempty"` // see UpstreamSpec
 	Address  string
 	Cold     bool
 	Pace     float64       // slowdown reported by the upstream: 1 is usual, 4 means that work takes four times as long
