Decide in one place when a limit is lifted

Cause: found in review. The pool and the entry's own table each had the rule that a response without a limit lifts it unless its attempt started before the limit was named. Change: both call placement.LiftsLimit. No change of behaviour. Measured: the tests of limits and TestUpstreamsGetNoMoreThanTheirLimit pass.

--- a/internal/coordinator/limits.go
+++ b/internal/coordinator/limits.go
@@ -13,17 +13,15 @@
 }
 
 // observeLimit records the limit in a response to this entry. The leader learns it from the end of the attempt; this entry keeps it
-// for the time without a leader and for the next one. A response without a limit lifts it, unless the attempt started before the limit
-// was named last.
+// for the time without a leader and for the next one.
 func (n *Node) observeLimit(upstream string, started time.Time, o placement.Outcome, limit *float64) {
 	now := time.Now()
 	n.mu.Lock()
 	previous, known := n.reports.limits[upstream]
-	answered := o == placement.Success || o == placement.Failure
 	switch {
 	case limit != nil:
 		n.reports.limits[upstream] = namedLimit{perSecond: *limit, at: now}
-	case known && answered && started.After(previous.at):
+	case known && placement.LiftsLimit(o, started, previous.at):
 		delete(n.reports.limits, upstream)
 	default:
 		n.mu.Unlock()
--- a/internal/placement/limit.go
+++ b/internal/placement/limit.go
@@ -63,14 +63,19 @@
 	}
 }
 
-// observe updates the limit with the result of a call. A response without a limit lifts it, unless the call started before the
-// limit was named last, because responses may overtake each other.
+// LiftsLimit reports whether the result of an attempt without a limit in its response lifts the limit that was named last at namedAt.
+// An attempt that started before doesn't, because responses may overtake each other.
+func LiftsLimit(o Outcome, started, namedAt time.Time) bool {
+	answered := o == Success || o == Failure
+	return answered && started.After(namedAt)
+}
+
+// observe updates the limit with the result of a call. The start of an adopted call isn't known, so it lifts no limit.
 func (l *rateLimit) observe(now time.Time, c *call, e End) {
 	switch {
 	case e.Limit != nil:
 		l.name(now, *e.Limit)
-	case e.Outcome != Success && e.Outcome != Failure, c.adopted:
-	case c.started.After(l.namedAt):
+	case !c.adopted && LiftsLimit(e.Outcome, c.started, l.namedAt):
 		*l = rateLimit{}
 	}
 }
