--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,4 @@
 # disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/boragehinge-entry ] && [ -x target/review-world ] || exit 2
-exec target/review-world silence . review/2/record.txt
+exec target/review-world late-stop . review/2/record.txt
--- a/review/standin/case_stop.go
+++ b/review/standin/case_stop.go
@@ -13,10 +13,9 @@
 	tickDeadline = 6 * time.Second
 )
 
-// tickRoutes are the routes of the cases: one like empty-tick of the grown site, and one whose requests crash upstreams.
+// tickRoutes are the routes of the cases: one like empty-tick of the grown site, and those that a case adds.
 var tickRoutes = []route{
 	{name: "tick", prefix: "/tick/", kind: "unsafe", timeout: "3s", slo: "1200ms", maxAttempts: 1},
-	{name: "crash", prefix: crashPath, kind: "unsafe", timeout: "3s", slo: "1200ms", maxAttempts: 1},
 }
 
 // deploy starts n entries and as many upstreams as given, over three zones.
--- a/review/standin/entry.go
+++ b/review/standin/entry.go
@@ -241,21 +241,3 @@
 		}
 	}
 }
-
-// probing returns the entry that probes the upstreams, which is the one that leads, by the metrics that operators read.
-func (w *world) leader() *entry {
-	client := http.Client{Timeout: time.Second}
-	for _, e := range w.entries {
-		resp, err := client.Get("http://" + e.address(e.control) + "/v1/leader")
-		if err != nil {
-			continue
-		}
-		buf := make([]byte, 4096)
-		n, _ := resp.Body.Read(buf)
-		_ = resp.Body.Close()
-		if strings.Contains(string(buf[:n]), `"leads":true`) && strings.Contains(string(buf[:n]), `"leaving":false`) {
-			return e
-		}
-	}
-	return nil
-}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,7 +21,6 @@
 var cases = map[string]caseFunc{
 	"late-stop": lateStop,
 	"silence":   silence,
-	"poison":    poison,
 	"path":      path,
 	"pipeline":  pipeline,
 }
--- a/review/standin/upstream.go
+++ b/review/standin/upstream.go
@@ -16,10 +16,6 @@
 	upstreamSlots = 6
 	upstreamQueue = 12 // requests that wait for a slot
 	heartbeat     = 1500 * time.Millisecond
-	// crashPath is the path of requests that crash each upstream that begins to run them.
-	crashPath = "/crash/"
-	// downAfterCrash is the time after which a crashed upstream is back.
-	downAfterCrash = 2 * time.Second
 )
 
 // upstream is a stand-in of a target. It works on a request for as many milliseconds as the request's query says (ms=N), drops
@@ -113,35 +109,6 @@
 	}
 }
 
-// crash ends the incarnation as a process that dies: its connections are reset and its port refuses new ones. The record lapses
-// after three missed heartbeats.
-func (u *upstream) crash(number int) {
-	u.mu.Lock()
-	id := u.id
-	u.up = false
-	_ = u.listener.Close()
-	for c := range u.conns {
-		_ = c.(*net.TCPConn).SetLinger(0)
-		_ = c.Close()
-	}
-	u.mu.Unlock()
-	u.w.note("upstream %s crashes", id)
-	time.AfterFunc(3*heartbeat, func() { u.w.store.put(upstreams, id, nil) })
-	time.AfterFunc(downAfterCrash, func() {
-		l, err := net.Listen("tcp", u.address)
-		if err != nil {
-			u.w.note("upstream at %s can't start again: %v", u.address, err)
-			return
-		}
-		u.start(l, number)
-	})
-}
-
-func (u *upstream) number() int {
-	n, _ := strconv.Atoi(u.id[2:4])
-	return n
-}
-
 func (u *upstream) serve(c net.Conn) {
 	defer func() {
 		u.mu.Lock()
@@ -213,11 +180,6 @@
 		u.mu.Unlock()
 	}()
 	u.w.ran(id, self, req.RequestURI)
-	if strings.HasPrefix(req.URL.Path, crashPath) {
-		u.w.crashed(id, self)
-		u.crash(u.number())
-		return "", false
-	}
 	work, _ := strconv.Atoi(req.URL.Query().Get("ms"))
 	end := time.Now().Add(time.Duration(work) * time.Millisecond)
 	status := "200 OK"
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -36,7 +36,6 @@
 	began    time.Time
 	ended    time.Time
 	result   string
-	crashed  bool
 }
 
 func newWorld(root string, trouble bool) (*world, error) {
@@ -96,14 +95,6 @@
 	}
 }
 
-// crashed notes that a run has crashed its upstream.
-func (w *world) crashed(id, upstream string) {
-	w.ranTo(id, upstream, "crash")
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.runs[id][len(w.runs[id])-1].crashed = true
-}
-
 func (w *world) runsOf(id string) []run {
 	w.mu.Lock()
 	defer w.mu.Unlock()
