Refuse requests that may outlast a stopping entry

The stop compared no deadline with the end of the process. It has a schedule now: later than 0.45 of the grace period a request is refused with 503, unless its deadline is before the end; at the end, what still runs gets a reply. On the same path: connections that the entry closes are half-closed first, since a close with unread bytes resets them and cuts the last response; idle ones are closed by the goroutine that reads them.

--- a/cmd/boragehinge-entry/run.go
+++ b/cmd/boragehinge-entry/run.go
@@ -34,6 +34,8 @@
 	wantedTTL = 1500 * time.Millisecond
 	// serveAfterStop is the part of the time until the process is killed in which new connections are still served.
 	serveAfterStop = 0.78
+	// acceptAllAfterStop is the part of that time in which requests are accepted whatever their deadline is.
+	acceptAllAfterStop = 0.45
 	// stopMargin is kept from the time until the process is killed.
 	stopMargin = 400 * time.Millisecond
 	// upstreamIdle is below the time after which upstreams close idle connections.
@@ -188,22 +190,28 @@
 // stop serves callers that still have this entry's address, then closes the listener and finishes what runs.
 func (e *entry) stop(callers net.Listener) error {
 	grace := time.Duration(e.settings.Load().Bounds.Grace)
-	deadline := time.Now().Add(grace - stopMargin)
+	now := time.Now()
 	e.log.Info().Str("event", "stop").Dur("grace", grace).Msg("stopping")
+	e.server.Leave(shutdownPlan(now, grace))
 	e.node.Leave()
-	e.server.Leave()
 	time.Sleep(time.Duration(serveAfterStop * float64(grace)))
 	if err := callers.Close(); err != nil {
 		e.log.Warn().Err(err).Msg("close the callers' listener")
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	defer cancel()
-	if err := e.server.Drain(ctx); err != nil {
+	if err := e.server.Drain(); err != nil {
 		e.log.Warn().Err(err).Msg("stopped with open connections")
 	}
 	return nil
 }
 
+// shutdownPlan returns the schedule for a process that is killed when the grace period after now is over.
+func shutdownPlan(now time.Time, grace time.Duration) ingress.Shutdown {
+	return ingress.Shutdown{
+		AcceptAllUntil: now.Add(time.Duration(acceptAllAfterStop * float64(grace))),
+		End:            now.Add(grace - stopMargin),
+	}
+}
+
 // flushLogs writes what was logged since the last call.
 func (e *entry) flushLogs(now time.Time) error {
 	return errors.Join(e.decisions.Flush(now), e.out.Flush())
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -40,11 +40,18 @@
 	ctx    context.Context
 	// cancel cancels all requests of the connection when the caller has disconnected.
 	cancel context.CancelFunc
+	// work is the context of the attempts at upstreams. It ends with ctx, and at the end of a shutdown, when requests that still run
+	// get a local reply.
+	work    context.Context
+	endWork context.CancelFunc
 
 	mu            sync.Mutex
 	requestsRead  int
 	requestsDone  int
-	closing       bool          // no further request is read
+	awaiting      bool          // waiting for the first byte of a request
+	draining      bool          // closes when idle
+	closing       bool          // no further request is read, because a response has announced the close
+	lingering     bool          // the caller may still send requests that are not read
 	pipelineSlots chan struct{} // semaphore of the concurrent requests
 	lastDone      chan struct{} // closed when the most recently read request has been answered
 }
@@ -78,6 +85,7 @@
 	c.caller, _, _ = net.SplitHostPort(nc.RemoteAddr().String())
 	c.br = bufio.NewReaderSize(c.limited, readBufferSize)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.work, c.endWork = context.WithCancel(c.ctx)
 	return c
 }
 
@@ -94,6 +102,9 @@
 	for c.readOne() {
 	}
 	<-c.lastDone
+	if c.isLingering() {
+		c.linger()
+	}
 	c.cancel()
 	_ = c.nc.Close() // all responses have been written
 }
@@ -138,6 +149,7 @@
 			return false
 		}
 		_, err := c.br.Peek(1)
+		c.setAwaiting(false)
 		if err == nil {
 			return true
 		}
@@ -151,14 +163,23 @@
 	}
 }
 
-// setIdleDeadline sets the read deadline to the idle timeout. It returns false when the connection is closing.
+// setIdleDeadline sets the read deadline to the idle timeout, and marks the connection as awaiting a request. It returns false when
+// the connection is closing, or draining and idle.
 func (c *conn) setIdleDeadline(idle time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.closing {
-		_ = c.nc.SetReadDeadline(time.Now().Add(idle)) // fails only on a closed connection, which Peek reports
+	if c.closing || c.draining && c.requestsRead == c.requestsDone && c.br.Buffered() == 0 {
+		return false
 	}
-	return !c.closing
+	c.awaiting = true
+	_ = c.nc.SetReadDeadline(time.Now().Add(idle)) // fails only on a closed connection, which Peek reports
+	return true
+}
+
+func (c *conn) setAwaiting(awaiting bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.awaiting = awaiting
 }
 
 func (c *conn) busy() bool {
@@ -237,27 +258,36 @@
 	return errors.As(err, &netErr) && !netErr.Timeout()
 }
 
-// closeIfIdle closes the connection when all of its requests have been answered.
-func (c *conn) closeIfIdle() {
+// drain makes the connection close as soon as all of its requests have been answered. Only the goroutine that reads requests closes
+// it, so that a request that was just read is not dropped.
+func (c *conn) drain() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.requestsRead == c.requestsDone && c.br.Buffered() == 0 {
-		c.closing = true
-		_ = c.nc.Close()
+	c.draining = true
+	if c.awaiting && c.requestsRead == c.requestsDone {
+		_ = c.nc.SetReadDeadline(time.Unix(1, 0)) // interrupts the blocked read
 	}
 }
 
-// decideClose reports whether the connection closes after the response to the request number. If so, no further request
-// is read.
-func (c *conn) decideClose(number int, requested bool) bool {
+// decideClose reports whether the connection closes after the response to the request number: because its caller has requested it,
+// the request was not read to its end, or the server is shutting down. If so, no further request is read.
+func (c *conn) decideClose(number int, requested, unread bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if requested || (c.s.leaving.Load() && c.requestsRead == number) {
+	stopping := c.s.shutdown.Load() != nil && c.requestsRead == number
+	if requested || unread || stopping {
 		c.closing = true
+		c.lingering = unread || !requested
 	}
 	return c.closing
 }
 
+func (c *conn) isLingering() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lingering
+}
+
 func (c *conn) requestDone() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -33,6 +33,8 @@
 	configWait = 120 * time.Millisecond
 	// noConfigRetryAfter is the Retry-After time of replies while this entry knows no configuration.
 	noConfigRetryAfter = 200 * time.Millisecond
+	// reasonStopping names refusals during a shutdown in the log and the metrics.
+	reasonStopping = "stopping"
 )
 
 // exchange is a request of a caller and its response.
@@ -79,7 +81,7 @@
 	if !x.admit() {
 		return
 	}
-	ctx, cancel := context.WithDeadline(x.conn.ctx, x.deadline)
+	ctx, cancel := context.WithDeadline(x.conn.work, x.deadline)
 	defer cancel()
 	for x.try(ctx) {
 	}
@@ -112,6 +114,11 @@
 		}
 	}
 	x.deadline = x.arrived.Add(wait - responseMargin)
+	if x.s.shutdown.Load().refuses(time.Now(), x.deadline) {
+		x.s.opts.Metrics.refusals.WithLabelValues(reasonStopping).Inc()
+		x.localReply(http.StatusServiceUnavailable, stoppingRetryAfter, true, reasonStopping)
+		return false
+	}
 	x.objective = x.arrived.Add(x.route.Objective - responseMargin)
 	x.service = x.s.splits.choose(x.config.Version, x.route)
 	removeHopByHopHeaders(x.req.Header)
--- a/internal/ingress/write.go
+++ b/internal/ingress/write.go
@@ -39,7 +39,7 @@
 		b = append(b, "\r\n"...)
 	}
 	unread := x.streamed != nil && !x.streamed.complete()
-	if x.conn.decideClose(x.number, closeConn || x.req.Close || unread) {
+	if x.conn.decideClose(x.number, x.req.Close, closeConn || unread) {
 		b = append(b, "Connection: close\r\n"...)
 	}
 	b = append(b, "Content-Length: 0\r\n\r\n"...)
@@ -81,7 +81,7 @@
 	}
 	if err := x.streamResponse(b, bodyStart, rest, chunked); err != nil {
 		// Closing the connection before the announced length or the last chunk shows the caller that the response is truncated.
-		x.conn.decideClose(x.number, true)
+		x.conn.decideClose(x.number, true, false)
 		x.conn.cancel()
 		_ = x.conn.nc.Close()
 		return err
@@ -110,7 +110,7 @@
 		b = appendLength(b, length)
 	}
 	unread := x.streamed != nil && !x.streamed.complete()
-	if x.conn.decideClose(x.number, x.req.Close || unread) {
+	if x.conn.decideClose(x.number, x.req.Close, unread) {
 		b = append(b, "Connection: close\r\n"...)
 	}
 	return append(b, "\r\n"...)
