Take a connection for dead only when its peer acknowledges nothing

The transport compared the time of a call with earlier ones of its route. Now only the kernel's state counts: unacknowledged data or keep-alive probes, which start after 1 s.

--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -205,7 +205,7 @@
 	case len(x.body) > 0:
 		out.Body, out.ContentLength = memoryBody{bytes.NewReader(x.body)}, int64(len(x.body))
 	}
-	return x.s.opts.Transport.RoundTrip(transport.WithRoute(ctx, x.route.Name), p.Address, out, x.route.Kind.Idempotent())
+	return x.s.opts.Transport.RoundTrip(ctx, p.Address, out, x.route.Kind.Idempotent())
 }
 
 var errBodySent = errors.New("the body was sent already")
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -77,7 +77,7 @@
 	stream := body.open()
 	req := upstreamRequest(r, a.call, stream, remaining)
 	a.started = time.Now()
-	resp, err := p.deps.Upstreams.RoundTrip(transport.WithRoute(ctx, a.call.Route), a.grant.Address, req, a.call.Idempotent)
+	resp, err := p.deps.Upstreams.RoundTrip(ctx, a.grant.Address, req, a.call.Idempotent)
 	a.latency = time.Since(a.started)
 	if err == nil {
 		a.resp = resp
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -66,7 +66,7 @@
 	stream := body.open()
 	req := forwardRequest(r, a, stream, mode, remaining)
 	a.started = time.Now()
-	resp, err := p.deps.Peers.RoundTrip(transport.WithRoute(ctx, a.call.Service+" "+a.call.Route), peer, req, a.call.Idempotent)
+	resp, err := p.deps.Peers.RoundTrip(ctx, peer, req, a.call.Idempotent)
 	a.latency = time.Since(a.started)
 	if err != nil {
 		stream.stop()
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -23,7 +23,6 @@
 
 	// Guarded by connPool.mu.
 	lastResponse time.Time // time of the dial until the first response arrives
-	route        *route    // of the current call
 	retired      bool      // to be closed after the current call
 	discarded    bool
 
@@ -110,7 +109,6 @@
 	c.written.Store(0)
 	c.sent.Store(false)
 	x.detachContext = context.AfterFunc(ctx, c.abort)
-	c.connPool.setRoute(c, routeFromContext(ctx))
 	x.start = time.Now()
 	x.wrapBody()
 	if x.canWriteInline() {
--- a/internal/transport/connpool.go
+++ b/internal/transport/connpool.go
@@ -23,11 +23,9 @@
 	closed   bool
 	counters Stats
 
-	recentSilent  int // silent connections since the last bulk retirement or silentWindow without any
-	lastSilent    time.Time
-	lastProgress  [2]progress // latest progress on two different connections
-	routes        map[string]*route
-	overflowRoute route // shared by the routes beyond maxRoutes
+	recentSilent int // silent connections since the last bulk retirement or silentWindow without any
+	lastSilent   time.Time
+	lastProgress [2]progress // latest progress on two different connections
 }
 
 // progress is the last time that a connection received bytes.
@@ -42,7 +40,6 @@
 		address: address,
 		limiter: rate.NewLimiter(rate.Limit(cfg.NewConnsPerSecond), cfg.NewConnsBurst),
 		busy:    map[*conn]struct{}{},
-		routes:  map[string]*route{},
 	}
 }
 
@@ -206,13 +203,6 @@
 	return c, nil
 }
 
-// setRoute records the route of the call that the connection is about to carry.
-func (p *connPool) setRoute(c *conn, route string) {
-	p.mu.Lock()
-	c.route = p.route(route)
-	p.mu.Unlock()
-}
-
 // release makes a connection available again after a complete exchange.
 func (p *connPool) release(c *conn) {
 	p.mu.Lock()
--- a/internal/transport/response.go
+++ b/internal/transport/response.go
@@ -32,7 +32,7 @@
 	}
 	now := time.Now()
 	out := &Response{Response: resp, Latency: now.Sub(x.start), Reused: x.reused}
-	x.c.connPool.recordResponse(x.c, now, out.Latency)
+	x.c.connPool.recordResponse(x.c, now)
 	out.Load = loadReport(resp.Header)
 	if resp.Body == http.NoBody {
 		x.finish(x.reusable(resp))
--- a/internal/transport/silence.go
+++ b/internal/transport/silence.go
@@ -19,11 +19,10 @@
 	p.mu.Unlock()
 }
 
-// recordResponse records the time from the start of a call to its response header.
-func (p *connPool) recordResponse(c *conn, at time.Time, latency time.Duration) {
+// recordResponse records the time of a response header.
+func (p *connPool) recordResponse(c *conn, at time.Time) {
 	p.mu.Lock()
 	c.lastResponse = at
-	c.route.add(at.Add(-latency), latency)
 	p.mu.Unlock()
 }
 
@@ -52,19 +51,14 @@
 }
 
 // isSilent reports whether a busy connection is taken as dead: its call has been waiting for the upstream for more than
-// MinSilence, other connections made progress, and either the peer acknowledges nothing or the call was overtaken and
-// exceeds the silence threshold of its route. A slow call on a working connection meets neither of the last two
-// conditions.
+// MinSilence, other connections made progress, and the peer acknowledges nothing. That later calls were answered first proves
+// nothing, because the work of a single call may take much longer than that of the others.
 func (p *connPool) isSilent(c *conn, now time.Time) bool {
 	since, blocked := c.blockedSince()
 	if !blocked || now.Sub(since) <= p.cfg.MinSilence || !p.othersProgressed(c, since) {
 		return false
 	}
-	if p.cfg.peerUnreachable(c.nc) {
-		return true
-	}
-	limit, known := c.route.silenceThreshold(p.cfg.MinSilence)
-	return known && now.Sub(since) > limit && c.route.overtaken(since)
+	return p.cfg.peerUnreachable(c.nc)
 }
 
 // othersProgressed reports whether a connection other than c received bytes after since.
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -34,7 +34,7 @@
 	// AcceptUndelimited accepts responses whose end is marked only by the close of the connection.
 	AcceptUndelimited bool
 
-	// Dial opens a connection. The default is a net.Dialer with TCP keep-alive after 5 s.
+	// Dial opens a connection. The default is a net.Dialer with TCP keep-alive after 1 s.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 	peerUnreachable func(net.Conn) bool // replaced by tests
@@ -65,9 +65,10 @@
 	return c
 }
 
-// keepAlive lets the kernel close a connection about 10 s after its peer became unreachable, if no data is
-// unacknowledged. Probes are sent only on connections that received nothing for Idle.
-var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: time.Second, Count: 5}
+// keepAlive lets the kernel close a connection about 5 s after its peer became unreachable, if no data is
+// unacknowledged. Probes are sent only on connections that received nothing for Idle. An upstream that works on a request for long
+// answers them, so they tell a slow upstream from a dead connection; see peerUnreachable.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 4}
 
 func setDefault[T int | int64 | float64 | time.Duration](field *T, value T) {
 	if *field <= 0 {
