Keep a connection open for pipelined requests behind a local reply

Now reading stops, and only the response to the last request that was read announces the close. TestLocalReplyDoesNotCutPipelinedRequests fails without it.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -269,8 +269,9 @@
 	}
 }
 
-// decideClose reports whether the connection closes after the response to the request number: because its caller has requested it,
-// the request was not read to its end, or the server is shutting down. If so, no further request is read.
+// decideClose stops reading further requests if the caller has requested the close of the connection, the request number can't be
+// read to its end, or the server is shutting down. It reports whether the connection closes after the response to the request number,
+// which is not so while requests behind it were read already.
 func (c *conn) decideClose(number int, requested, unread bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -279,7 +280,7 @@
 		c.closing = true
 		c.lingering = unread || !requested
 	}
-	return c.closing
+	return c.closing && c.requestsRead == number
 }
 
 func (c *conn) isLingering() bool {
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -116,7 +116,7 @@
 	x.deadline = x.arrived.Add(wait - responseMargin)
 	if x.s.shutdown.Load().refuses(time.Now(), x.deadline) {
 		x.s.opts.Metrics.refusals.WithLabelValues(reasonStopping).Inc()
-		x.localReply(http.StatusServiceUnavailable, stoppingRetryAfter, true, reasonStopping)
+		x.localReply(http.StatusServiceUnavailable, stoppingRetryAfter, false, reasonStopping)
 		return false
 	}
 	x.objective = x.arrived.Add(x.route.Objective - responseMargin)
--- a/internal/ingress/shutdown_test.go
+++ b/internal/ingress/shutdown_test.go
@@ -72,6 +72,41 @@
 	}
 }
 
+// Guards against a reply of the entry that closes its connection while a pipelined request behind it is at an upstream.
+func TestLocalReplyDoesNotCutPipelinedRequests(t *testing.T) {
+	tests := []struct {
+		name    string
+		prepare func(*testServer)
+		request func(*testServer) string
+		status  int
+	}{
+		{"refused during a shutdown", func(r *testServer) { r.leave(0, time.Second) },
+			func(r *testServer) string { return r.request(http.MethodGet, "/safe/x", "") }, http.StatusServiceUnavailable},
+		{"malformed", func(*testServer) {},
+			func(*testServer) string { return "GET /short/x HTTP/1.1\r\nHost: h.example\r\n\r\n" }, http.StatusBadRequest},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			r := newTestServer(t, 1)
+			r.placer.upstreams[0].Set(standin.Behaviour{Work: 50 * time.Millisecond})
+			test.prepare(r)
+			c, br := r.dial()
+			// The reply waits for the response to the first request. Meanwhile the request behind it is read.
+			_, err := io.WriteString(c, r.request(http.MethodGet, "/short/x", "")+test.request(r)+r.request(http.MethodGet, "/short/x", ""))
+			require.NoError(t, err)
+			for _, want := range []struct {
+				status int
+				closes bool
+			}{{http.StatusOK, false}, {test.status, false}, {http.StatusOK, true}} {
+				resp := r.read(br)
+				assert.Equal(t, want.status, resp.StatusCode)
+				assert.Equal(t, want.closes, resp.Close, "status %d", resp.StatusCode)
+				bodyOf(t, resp)
+			}
+		})
+	}
+}
+
 // Guards against connections that close without a response because the process ends: a queued request is reported as not run, and
 // one at an upstream as timed out.
 func TestRequestsAreAnsweredAtTheEndOfAShutdown(t *testing.T) {
