Remember crashing requests across changes of the leader

The histories were part of the leader's pools. The leader now sends them to the followers that would be elected next, a follower tells them to a new leader, and an entry without a leader uses them. Processes are counted instead of IDs, and a refused request is tried once a minute instead of three times.

The new tests fail without the adoption.

--- a/internal/coordinator/follow.go
+++ b/internal/coordinator/follow.go
@@ -57,7 +57,7 @@
 
 // hello introduces this entry to a leader.
 func (n *Node) hello(running []Running) *Hello {
-	return &Hello{Entry: n.o.Self, Leaving: n.Leaving(), AcceptsPacked: true, Running: running, Limits: n.upstreamLimits(), LeavingUpstreams: n.leavingUpstreams()}
+	return &Hello{Entry: n.o.Self, Leaving: n.Leaving(), AcceptsPacked: true, Running: running, Limits: n.upstreamLimits(), LeavingUpstreams: n.leavingUpstreams(), Histories: n.currentHistories()}
 }
 
 // adoptRunning moves the running attempts to a session, to which their results will be reported, and returns them.
@@ -112,6 +112,9 @@
 	for _, m := range frame.Moves {
 		n.applyMoveNotice(m)
 	}
+	if len(frame.Histories) > 0 {
+		n.learnHistories(frame.Histories)
+	}
 	c.session.Deliver(frame.Grants, frame.Refusals)
 	if !c.joined && len(frame.Batches) > 0 {
 		c.joined = true
--- a/internal/coordinator/followers.go
+++ b/internal/coordinator/followers.go
@@ -318,6 +318,7 @@
 	if first {
 		l.node.adoptLimits(h.Limits)
 		l.node.markLeaving(h.LeavingUpstreams...)
+		l.coordinator.AdoptHistories(now, h.Histories)
 		l.coordinator.Adopt(now, f, h.Running)
 	}
 	l.clusterChanged(now) // before the records, because the follower joins with its first batch
--- /dev/null
+++ b/internal/coordinator/history.go
@@ -0,0 +1,91 @@
+package coordinator
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// historyInterval is the time between two messages of a leader with its history.
+const historyInterval = 200 * time.Millisecond
+
+// knownHistory is the history of a service as this entry knows it.
+type knownHistory struct {
+	ServiceHistory
+	at time.Time
+}
+
+// empty reports whether there is nothing to know.
+func (h *ServiceHistory) empty() bool { return len(h.Crashes) == 0 }
+
+// Histories returns what the next leader must know of the services, ordered by name.
+func (c *Coordinator) Histories(now time.Time) []ServiceHistory {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []ServiceHistory
+	for name, pool := range c.pools {
+		out = append(out, ServiceHistory{Service: name, Crashes: pool.Crashes(now)})
+	}
+	slices.SortFunc(out, func(a, b ServiceHistory) int { return strings.Compare(a.Service, b.Service) })
+	return out
+}
+
+// AdoptHistories adds the histories of another leader to the pools.
+func (c *Coordinator) AdoptHistories(now time.Time, histories []ServiceHistory) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, h := range histories {
+		if pool := c.pools[h.Service]; pool != nil {
+			pool.AdoptCrashes(now, h.Crashes)
+		}
+	}
+}
+
+// learnHistories keeps the histories that the leader has sent, for the time without a leader and for the next one.
+func (n *Node) learnHistories(histories []ServiceHistory) {
+	now := time.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, h := range histories {
+		n.histories[h.Service] = knownHistory{h, now}
+	}
+	n.standalone.AdoptHistories(now, histories)
+}
+
+// knownHistories returns the histories with their ages as of now. The caller holds n.mu.
+func (n *Node) knownHistories(now time.Time) []ServiceHistory {
+	out := make([]ServiceHistory, 0, len(n.histories))
+	for _, known := range n.histories {
+		h := known.ServiceHistory
+		h.Crashes = slices.Clone(h.Crashes)
+		for i := range h.Crashes {
+			h.Crashes[i].Age += now.Sub(known.at)
+		}
+		out = append(out, h)
+	}
+	return out
+}
+
+// currentHistories returns the histories for a new leader.
+func (n *Node) currentHistories() []ServiceHistory {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.knownHistories(time.Now())
+}
+
+// sendHistories sends the histories to the followers that would be elected next, and keeps them for the time after this leadership. It
+// sends nothing while there is nothing to know, except once to replace earlier histories.
+func (l *leadership) sendHistories(now time.Time) {
+	histories := l.coordinator.Histories(now)
+	empty := !slices.ContainsFunc(histories, func(h ServiceHistory) bool { return !h.empty() })
+	if empty && l.sentEmptyHistories {
+		return
+	}
+	l.sentEmptyHistories = empty
+	l.node.learnHistories(histories)
+	for _, f := range l.currentFollowers() {
+		if l.receivesUpstreams(f) {
+			f.link.Queue(func(frame *Frame) { frame.Histories = histories })
+		}
+	}
+}
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -39,10 +39,13 @@
 	moves        *moveController
 	loggedStates map[string]upstreamState // by upstream; used by the goroutine of runMaintenance only
 	startedAt    time.Time
-	rate         rateMeter
-	announcer    announcer
-	pacer        pacer
-	snapshots    snapshotCache
+	// sentEmptyHistories is set after the followers were told that there is no history; used by the goroutine of lead only.
+	sentEmptyHistories bool
+
+	rate      rateMeter
+	announcer announcer
+	pacer     pacer
+	snapshots snapshotCache
 
 	mu         sync.Mutex
 	followers  map[*follower]struct{}
@@ -75,6 +78,7 @@
 	n.mu.Lock()
 	n.leader = l
 	l.configure(time.Now(), n.view)
+	l.coordinator.AdoptHistories(time.Now(), n.knownHistories(time.Now()))
 	n.mu.Unlock()
 	l.coordinator.Adopt(time.Now(), s, n.adoptRunning(s))
 	n.setSession(s)
@@ -89,6 +93,7 @@
 	go l.watchRivals(ctx)
 	l.runMaintenance(ctx)
 
+	l.sendHistories(time.Now())
 	n.mu.Lock()
 	n.leader = nil
 	n.mu.Unlock()
@@ -191,7 +196,7 @@
 
 // runMaintenance does the periodic work that is not urgent, until ctx ends.
 func (l *leadership) runMaintenance(ctx context.Context) {
-	var clusterInfoAt, statesLoggedAt time.Time
+	var clusterInfoAt, statesLoggedAt, historiesSentAt time.Time
 	load := loadLogger{leadership: l}
 	pause.Every(ctx, maintenanceInterval, func(now time.Time) {
 		l.checkMajority(now)
@@ -204,6 +209,10 @@
 			l.announce(ctx, now)
 			l.stepDownForLargerHost(now)
 		}
+		if now.Sub(historiesSentAt) >= historyInterval {
+			historiesSentAt = now
+			l.sendHistories(now)
+		}
 		if now.Sub(statesLoggedAt) >= stateLogInterval {
 			statesLoggedAt = now
 			l.logUpstreamStates(now)
--- a/internal/coordinator/messages_gen.go
+++ b/internal/coordinator/messages_gen.go
@@ -90,6 +90,8 @@
 	Packed [][]byte `cbor:"11,keyasint,omitempty"`
 	// LeavingUpstreams: upstreams that have told the follower that they leave.
 	LeavingUpstreams []LeavingUpstream `cbor:"12,keyasint,omitempty"`
+	// Histories: what the next leader must know of the recent past, from the leader.
+	Histories []ServiceHistory `cbor:"13,keyasint,omitempty"`
 }
 
 // Hello is the first message of a follower on a link. It is sent again when the state of the follower changes.
@@ -106,6 +108,8 @@
 	Limits []UpstreamLimit `cbor:"5,keyasint,omitempty"`
 	// LeavingUpstreams: upstreams that have told that they leave.
 	LeavingUpstreams []LeavingUpstream `cbor:"6,keyasint,omitempty"`
+	// Histories: what the follower knows of the recent past.
+	Histories []ServiceHistory `cbor:"7,keyasint,omitempty"`
 }
 
 // LeavingUpstream is a process of an upstream that has told in a response that it leaves.
@@ -134,6 +138,15 @@
 	Upstream string `cbor:"2,keyasint"`
 }
 
+// ServiceHistory is what a leader must know of the time before its leadership, so that limits hold across changes of
+// the leader.
+type ServiceHistory struct {
+	// Service: name of the service.
+	Service string `cbor:"1,keyasint"`
+	// Crashes: upstreams that requests have crashed.
+	Crashes []placement.CrashHistory `cbor:"2,keyasint,omitempty"`
+}
+
 // UpstreamLimit is the limit that an upstream has named in its responses.
 type UpstreamLimit struct {
 	// Upstream: ID of the upstream.
--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -80,7 +80,8 @@
 	slowUntil        time.Time // until then other entries are preferred as leader, because this one was short of CPU
 	checkingLeader   bool      // another entry reported the leader as lost, and a query to it is in progress
 	running          map[*runningAttempt]struct{}
-	reports          reports // of upstreams
+	reports          reports                 // of upstreams
+	histories        map[string]knownHistory // by service
 
 	config  atomic.Pointer[gateway.Config]
 	initial initialConfig
@@ -99,7 +100,7 @@
 	o.Store = instrumentedStore{o.Store, o.Metrics}
 	n := &Node{
 		o: o, log: o.Log, started: time.Now(), view: gateway.NewView(), running: map[*runningAttempt]struct{}{},
-		reports:    newReports(),
+		reports: newReports(), histories: map[string]knownHistory{},
 		standalone: NewCoordinator(o.Limits, true), query: queryLeader,
 	}
 	n.session, n.sessionChanged = newLocalSession(n.standalone), make(chan struct{})
--- a/internal/placement/crash.go
+++ b/internal/placement/crash.go
@@ -1,16 +1,83 @@
 package placement
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
 
-// crashHistory lists the upstreams that a request has crashed.
+const (
+	// maxCrashes is the number of crashed upstream processes at which a request is refused.
+	maxCrashes = 3
+	// crashTTL is how long crashes count towards maxCrashes.
+	crashTTL = 60 * time.Second
+	// crashRetryInterval is the time between two attempts of a request that is refused for its crashes. One attempt is needed to learn
+	// that it is harmless by now.
+	crashRetryInterval = 60 * time.Second
+	// crashMemory is how long a request that is refused for its crashes is remembered after the last one.
+	crashMemory = 10 * time.Minute
+	// maxSharedCrashes bounds the crash histories that are passed to another pool.
+	maxSharedCrashes = 64
+	// suspectWindow is the time after a lost connection within which an unreachable upstream counts as crashed by the request.
+	suspectWindow = 600 * time.Millisecond
+)
+
+// CrashHistory tells which upstream processes a request has crashed.
+type CrashHistory struct {
+	Fingerprint uint64            // of the request, see Ask
+	Processes   []UpstreamProcess // without duplicates
+	Age         time.Duration     // since the last crash, or the last attempt after it
+}
+
+// UpstreamProcess is one start of an upstream.
+type UpstreamProcess struct {
+	ID   string
+	Born int64 // see UpstreamSpec
+}
+
+// crashHistory is a CrashHistory with the time of the last crash, or of the last attempt after it.
 type crashHistory struct {
-	upstreams []string
+	processes []UpstreamProcess
 	last      time.Time
 }
 
+// blocked reports whether the request has crashed so many processes that it is refused.
+func (h *crashHistory) blocked() bool { return len(h.processes) >= maxCrashes }
+
+func (h *crashHistory) add(p UpstreamProcess) {
+	if !slices.Contains(h.processes, p) {
+		h.processes = append(h.processes, p)
+	}
+}
+
+func (h *crashHistory) expired(now time.Time) bool {
+	if h.blocked() {
+		return now.Sub(h.last) > crashMemory
+	}
+	return now.Sub(h.last) > crashTTL
+}
+
+// suspect is a request that may have crashed the process of an upstream.
+type suspect struct {
+	fingerprint uint64
+	process     UpstreamProcess
+	at          time.Time
+}
+
+// refusesCrasher reports whether a request is refused because it has crashed several upstreams.
+func (p *Pool) refusesCrasher(now time.Time, fingerprint uint64) bool {
+	h, known := p.crashes[fingerprint]
+	if fingerprint == 0 || !known || !h.blocked() {
+		return false
+	}
+	if now.Sub(h.last) <= crashRetryInterval {
+		return true
+	}
+	h.last = now
+	p.crashes[fingerprint] = h
+	return false
+}
+
 // trackCrashSuspect records a request whose connection was lost as a possible cause of a crash. It counts as a crash once the
 // upstream can't be reached. A success clears the history of the request.
 func (p *Pool) trackCrashSuspect(now time.Time, c *call, e End) {
@@ -24,7 +91,7 @@
 	if e.Outcome != Lost {
 		return
 	}
-	c.target.suspects = append(c.target.suspects, suspect{c.ask.Fingerprint, now})
+	c.target.suspects = append(c.target.suspects, suspect{c.ask.Fingerprint, UpstreamProcess{c.target.spec.ID, c.born}, now})
 	if !c.target.reachable {
 		p.attributeCrash(now, c.target)
 	}
@@ -36,20 +103,44 @@
 		if now.Sub(s.at) > suspectWindow {
 			continue
 		}
-		history := p.crashes[s.fingerprint]
-		if !slices.Contains(history.upstreams, u.spec.ID) {
-			history.upstreams = append(history.upstreams, u.spec.ID)
-		}
-		history.last = now
-		p.crashes[s.fingerprint] = history
+		h := p.crashes[s.fingerprint]
+		h.add(s.process)
+		h.last = now
+		p.crashes[s.fingerprint] = h
 	}
 	u.suspects = u.suspects[:0]
 }
 
 func (p *Pool) expireCrashes(now time.Time) {
-	for f, c := range p.crashes {
-		if now.Sub(c.last) > crashTTL {
+	for f, h := range p.crashes {
+		if h.expired(now) {
 			delete(p.crashes, f)
 		}
 	}
 }
+
+// Crashes returns the latest crash histories, so that another pool of the service can adopt them.
+func (p *Pool) Crashes(now time.Time) []CrashHistory {
+	out := make([]CrashHistory, 0, len(p.crashes))
+	for f, h := range p.crashes {
+		out = append(out, CrashHistory{Fingerprint: f, Processes: slices.Clone(h.processes), Age: now.Sub(h.last)})
+	}
+	slices.SortFunc(out, func(a, b CrashHistory) int {
+		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Fingerprint, b.Fingerprint))
+	})
+	return out[:min(maxSharedCrashes, len(out))]
+}
+
+// AdoptCrashes adds crash histories of another pool of the service to those of this one.
+func (p *Pool) AdoptCrashes(now time.Time, histories []CrashHistory) {
+	for _, adopted := range histories {
+		h := p.crashes[adopted.Fingerprint]
+		for _, process := range adopted.Processes {
+			h.add(process)
+		}
+		if last := now.Add(-adopted.Age); last.After(h.last) {
+			h.last = last
+		}
+		p.crashes[adopted.Fingerprint] = h
+	}
+}
--- /dev/null
+++ b/internal/placement/crash_test.go
@@ -0,0 +1,143 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against requests that crash one upstream after another, and against counting a mere connection reset as a crash.
+func TestARequestThatCrashesUpstreamsIsRefused(t *testing.T) {
+	f := newFixture(up("a"), up("b"), up("c"), up("d"))
+	bad := func(a *Ask) { a.Fingerprint = 7 }
+	for range maxCrashes {
+		f.now = f.now.Add(time.Second)
+		d, id := f.ask(bad)
+		require.Len(t, d.Grants, 1)
+		f.finish(id, Lost)
+		f.Probe(f.now, Probe{Upstream: d.Grants[0].Upstream})
+	}
+	d, _ := f.ask(bad)
+	require.Len(t, d.Refusals, 1)
+	assert.Equal(t, ReasonCrashes, d.Refusals[0].Reason)
+
+	f = newFixture(up("a"), up("b"))
+	for range 20 {
+		f.now = f.now.Add(3 * time.Second)
+		f.healthy("a")
+		f.healthy("b")
+		d, id := f.ask(bad)
+		require.Len(t, d.Grants, 1, "a connection reset is not a crash")
+		f.finish(id, Lost)
+	}
+}
+
+// crash lets a request crash the upstream that it is placed on, and returns that upstream.
+func (f *fixture) crash(t *testing.T, fingerprint uint64) string {
+	t.Helper()
+	d, id := f.ask(func(a *Ask) { a.Fingerprint = fingerprint })
+	require.Len(t, d.Grants, 1)
+	f.finish(id, Lost)
+	f.Probe(f.now, Probe{Upstream: d.Grants[0].Upstream})
+	return d.Grants[0].Upstream
+}
+
+// restart starts the process of an upstream anew under its ID.
+func (f *fixture) restart(id string) {
+	for i := range f.spec.Upstreams {
+		if f.spec.Upstreams[i].ID == id {
+			f.spec.Upstreams[i].Born++
+		}
+	}
+	f.Configure(f.now, f.spec)
+	f.healthy(id)
+}
+
+func (f *fixture) refuses(fingerprint uint64) bool {
+	d, id := f.ask(func(a *Ask) { a.Fingerprint = fingerprint })
+	if len(d.Grants) > 0 {
+		f.finish(id, Cancelled)
+		return false
+	}
+	return len(d.Refusals) == 1 && d.Refusals[0].Reason == ReasonCrashes
+}
+
+// Guards against a service with few upstreams, which start again under their IDs, that a request may crash without end.
+func TestRestartedUpstreamsCountAsFurtherCrashes(t *testing.T) {
+	f := newFixture(up("a"), up("b"))
+	for range maxCrashes {
+		f.now = f.now.Add(2 * time.Second)
+		f.restart(f.crash(t, 7))
+	}
+	assert.True(t, f.refuses(7))
+	assert.False(t, f.refuses(8), "another request")
+}
+
+// Guards against one crash that counts twice, because another lost connection is reported after the restart.
+func TestOneCrashCountsOnce(t *testing.T) {
+	f := newFixture(up("a"))
+	var ids []uint64
+	for range maxCrashes {
+		d, id := f.ask(func(a *Ask) { a.Fingerprint = 7 })
+		require.Len(t, d.Grants, 1)
+		ids = append(ids, id)
+	}
+	for _, id := range ids {
+		f.finish(id, Lost)
+		f.Probe(f.now, Probe{Upstream: "a"})
+		f.restart("a")
+	}
+	assert.False(t, f.refuses(7))
+}
+
+// Guards against a request that crashes three more upstreams whenever its refusal expires, and against refusing it for good.
+func TestARefusedCrasherIsTriedOnceAtATime(t *testing.T) {
+	f := newFixture(up("a"), up("b"), up("c"))
+	for range maxCrashes {
+		f.now = f.now.Add(2 * time.Second)
+		f.restart(f.crash(t, 7))
+	}
+	for range 3 {
+		f.now = f.now.Add(crashRetryInterval + time.Second)
+		f.Tick(f.now)
+		f.restart(f.crash(t, 7))
+		assert.True(t, f.refuses(7), "after one attempt")
+	}
+	f.now = f.now.Add(crashRetryInterval + time.Second)
+	d, id := f.ask(func(a *Ask) { a.Fingerprint = 7 })
+	require.Len(t, d.Grants, 1)
+	f.finish(id, Success)
+	assert.False(t, f.refuses(7), "harmless by now")
+}
+
+// Guards against a new pool that knows nothing of the crashes that an earlier one has seen, and against histories without end.
+func TestCrashHistoriesAreAdopted(t *testing.T) {
+	f := newFixture(up("a"), up("b"), up("c"))
+	for range 2 {
+		f.now = f.now.Add(2 * time.Second)
+		f.restart(f.crash(t, 7))
+	}
+	next := newFixture(up("a"), up("b"), up("c"))
+	next.now = f.now
+	next.AdoptCrashes(next.now, f.Crashes(f.now))
+	next.AdoptCrashes(next.now, f.Crashes(f.now))
+	assert.False(t, next.refuses(7), "two crashes, told twice")
+	next.spec.Upstreams[0].Born = 9
+	next.Configure(next.now, next.spec)
+	next.healthy("a")
+	next.healthy("b")
+	next.healthy("c")
+	next.crash(t, 7)
+	assert.True(t, next.refuses(7))
+
+	rng := rand.New(rand.NewPCG(1, 2))
+	for range 3 * maxSharedCrashes {
+		f.AdoptCrashes(f.now, []CrashHistory{{Fingerprint: rng.Uint64(), Processes: []UpstreamProcess{{ID: "x"}}, Age: time.Second}})
+	}
+	shared := f.Crashes(f.now)
+	assert.Len(t, shared, maxSharedCrashes)
+	assert.EqualValues(t, 7, shared[0].Fingerprint, "the latest first")
+}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -23,11 +23,6 @@
 	// serviceTimeStepDivisor is the reciprocal of the relative step of a service time estimate, which doubles in about this many
 	// steps.
 	serviceTimeStepDivisor = 25
-	// maxCrashes is the number of crashed upstreams at which a request is refused.
-	maxCrashes = 3
-	crashTTL   = 60 * time.Second
-	// suspectWindow is the time after a lost connection within which an unreachable upstream counts as crashed by the request.
-	suspectWindow = 600 * time.Millisecond
 )
 
 // budgetRetryAfter is the RetryAfter of refusals for lack of budget. It is short because there may be free slots.
@@ -133,7 +128,7 @@
 	} else if !p.budget.allow(&p.spec, a.Returns) {
 		return p.refuse(now, c, ReasonBudget)
 	}
-	if a.Fingerprint != 0 && len(p.crashes[a.Fingerprint].upstreams) >= maxCrashes {
+	if p.refusesCrasher(now, a.Fingerprint) {
 		return p.refuse(now, c, ReasonCrashes)
 	}
 	p.move.countArrival()
@@ -160,7 +155,7 @@
 func (p *Pool) grant(now time.Time, c *call, u *upstream) {
 	c.full = p.occupancy.slowdown(u.spec.Slots, u.occupied())
 	c.target, c.started, c.pace, c.cold = u, now, u.expectedPace(now)*c.full, u.cold(now)
-	c.predicted = p.predict(now, c, u)
+	c.born, c.predicted = u.spec.Born, p.predict(now, c, u)
 	if c.cold {
 		u.coldTokens--
 	}
@@ -315,7 +310,7 @@
 	if u == nil || p.calls[a.ID] != nil {
 		return
 	}
-	c := &call{ask: a, target: u, started: now, queuedAt: now, pace: u.expectedPace(now), full: 1, adopted: true}
+	c := &call{ask: a, target: u, born: u.spec.Born, started: now, queuedAt: now, pace: u.expectedPace(now), full: 1, adopted: true}
 	u.running[a.ID] = c
 	p.calls[a.ID] = c
 	p.updateCandidate(now, u)
--- a/internal/placement/pool_test.go
+++ b/internal/placement/pool_test.go
@@ -82,32 +82,6 @@
 	assert.Equal(t, ReasonDeadline, d.Refusals[0].Reason)
 }
 
-// Guards against requests that crash one upstream after another, and against counting a mere connection reset as a crash.
-func TestARequestThatCrashesUpstreamsIsRefused(t *testing.T) {
-	f := newFixture(up("a"), up("b"), up("c"), up("d"))
-	bad := func(a *Ask) { a.Fingerprint = 7 }
-	for range maxCrashes {
-		f.now = f.now.Add(time.Second)
-		d, id := f.ask(bad)
-		require.Len(t, d.Grants, 1)
-		f.finish(id, Lost)
-		f.Probe(f.now, Probe{Upstream: d.Grants[0].Upstream})
-	}
-	d, _ := f.ask(bad)
-	require.Len(t, d.Refusals, 1)
-	assert.Equal(t, ReasonCrashes, d.Refusals[0].Reason)
-
-	f = newFixture(up("a"), up("b"))
-	for range 20 {
-		f.now = f.now.Add(3 * time.Second)
-		f.healthy("a")
-		f.healthy("b")
-		d, id := f.ask(bad)
-		require.Len(t, d.Grants, 1, "a connection reset is not a crash")
-		f.finish(id, Lost)
-	}
-}
-
 // Guards against using upstreams that fail requests although their probes are healthy, and against ejecting most upstreams when
 // the cause lies elsewhere.
 func TestFailingUpstreamsAreEjected(t *testing.T) {
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -44,6 +44,7 @@
 type call struct {
 	ask        Ask
 	target     *upstream
+	born       int64 // of the target's process, see UpstreamSpec
 	started    time.Time
 	queuedAt   time.Time
 	predicted  time.Duration
@@ -96,12 +97,6 @@
 	suspects []suspect // requests whose connections were lost recently
 }
 
-// suspect is a request that may have crashed an upstream.
-type suspect struct {
-	fingerprint uint64
-	at          time.Time
-}
-
 func newUpstream(now time.Time, spec UpstreamSpec) *upstream {
 	u := &upstream{
 		spec: spec, running: map[uint64]*call{}, pace: 1, latencySlowdown: 1, latencySlowdownAt: now, reachable: true,
