Let the first result of a move stand

A leader that is followed by a minority doesn't complete moves either, as it hears of no failure; it still rolls back.

--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -39,6 +39,9 @@
 	moves        *moveController
 	loggedStates map[string]upstreamState // by upstream; used by the goroutine of runMaintenance only
 	startedAt    time.Time
+	// minoritySince is the time since which less than half of the known entries follow, zero if more do; used by the goroutine of
+	// lead only.
+	minoritySince time.Time
 	// sentEmptyHistories is set after the followers were told that there is no history; used by the goroutine of lead only.
 	sentEmptyHistories bool
 
@@ -201,7 +204,7 @@
 	pause.Every(ctx, maintenanceInterval, func(now time.Time) {
 		l.checkMajority(now)
 		l.expireTombstones(now)
-		l.moves.advance(ctx, now)
+		l.moves.advance(ctx, now, l.mayFinishMoves(now))
 		if now.Sub(clusterInfoAt) >= clusterInfoInterval {
 			clusterInfoAt = now
 			l.publishClusterInfo(now)
@@ -230,7 +233,9 @@
 	n := l.node
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	minority := inMinority(l.countRecentFollowers(now), len(n.view.Entries), now.Sub(l.startedAt))
+	followers, known := l.countRecentFollowers(now), len(n.view.Entries)
+	l.observeMajority(now, followedByMinority(followers, known))
+	minority := inMinority(followers, known, now.Sub(l.startedAt))
 	n.minority.Store(minority && now.Sub(l.startedAt) > newLeaderPeriod)
 	if l.coordinator.Restrict(minority) {
 		n.log.Info().Str("event", "leadership").Bool("minority", minority).Int("entries", len(n.view.Entries)).Msg("leads")
@@ -240,7 +245,24 @@
 
 // inMinority reports whether a leader of the given number of followers has to assume that another leader exists.
 func inMinority(followers, known int, leadingFor time.Duration) bool {
-	return 2*(followers+1) < known && leadingFor < minorityTimeout
+	return followedByMinority(followers, known) && leadingFor < minorityTimeout
+}
+
+func followedByMinority(followers, known int) bool { return 2*(followers+1) < known }
+
+// observeMajority records since when the leader is followed by a minority only.
+func (l *leadership) observeMajority(now time.Time, minority bool) {
+	switch {
+	case !minority:
+		l.minoritySince = time.Time{}
+	case l.minoritySince.IsZero():
+		l.minoritySince = now
+	}
+}
+
+// mayFinishMoves reports whether this leader may complete moves. One that has lost most followers may have been replaced.
+func (l *leadership) mayFinishMoves(now time.Time) bool {
+	return l.minoritySince.IsZero() || now.Sub(l.minoritySince) >= minorityTimeout
 }
 
 // expireTombstones removes upstreams whose records expired in a store outage and did not come back in time.
--- a/internal/coordinator/moves.go
+++ b/internal/coordinator/moves.go
@@ -50,9 +50,7 @@
 		m.applyOrder(now, v, service, move)
 	}
 	for service, status := range v.Statuses {
-		if pending, ok := m.pending[service]; ok && pending == status {
-			delete(m.pending, service)
-		}
+		m.dropPending(service, status)
 	}
 	for service := range m.orders {
 		if _, ok := v.Moves[service]; !ok {
@@ -93,17 +91,34 @@
 		Int64("offset", offset).Msg("move starts")
 }
 
+// dropPending drops a status that need not be written any more, because the store has it, or must not be, because the move has ended:
+// the first result of a move is final, whichever leader wrote it.
+func (m *moveController) dropPending(service string, status gateway.MoveStatus) {
+	pending, ok := m.pending[service]
+	if !ok || pending.Version != status.Version {
+		return
+	}
+	if pending != status && status.State == gateway.MoveRunning {
+		return
+	}
+	delete(m.pending, service)
+	if pending != status {
+		m.l.log.Warn().Str("event", "move").Str("service", service).Str("version", status.Version).Str("state", status.State.String()).
+			Str("dropped", pending.State.String()).Msg("move was ended by another leader")
+	}
+}
+
 func (m *moveController) settle(service string, status gateway.MoveStatus) {
 	phase := reportedPhase(status, gateway.Move{Service: service, Version: status.Version})
 	m.l.coordinator.WithPool(service, func(p *placement.Pool) { p.SetMovePhase(status.Version, phase) })
 }
 
-// advance advances the moves, and starts a write of a pending status.
-func (m *moveController) advance(ctx context.Context, now time.Time) {
+// advance advances the moves, and starts a write of a pending status. See Pool.AdvanceMove for mayFinish.
+func (m *moveController) advance(ctx context.Context, now time.Time, mayFinish bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for service, order := range m.orders {
-		m.advanceMove(now, service, order)
+		m.advanceMove(now, service, order, mayFinish)
 	}
 	if m.writing || len(m.pending) == 0 || now.Before(m.nextTry) {
 		return
@@ -115,11 +130,11 @@
 	}
 }
 
-func (m *moveController) advanceMove(now time.Time, service string, order moveOrder) {
+func (m *moveController) advanceMove(now time.Time, service string, order moveOrder, mayFinish bool) {
 	var phase placement.MovePhase
 	var why string
 	var changed bool
-	m.l.coordinator.WithPool(service, func(p *placement.Pool) { phase, why, changed = p.AdvanceMove(now) })
+	m.l.coordinator.WithPool(service, func(p *placement.Pool) { phase, why, changed = p.AdvanceMove(now, mayFinish) })
 	if !changed {
 		return
 	}
--- a/internal/placement/move.go
+++ b/internal/placement/move.go
@@ -105,9 +105,10 @@
 // Move returns the version and phase of the current move.
 func (p *Pool) Move() (version string, phase MovePhase) { return p.move.version, p.move.phase }
 
-// AdvanceMove evaluates the move and enters its next phase if one is due. It returns the current phase and, if it changed, the
-// reason.
-func (p *Pool) AdvanceMove(now time.Time) (phase MovePhase, why string, changed bool) {
+// AdvanceMove evaluates the move and enters its next phase if one is due. While mayFinish is false, because another leader may decide on
+// the move with more responses, the version can be rolled back but doesn't get further. It returns the current phase and, if it
+// changed, the reason.
+func (p *Pool) AdvanceMove(now time.Time, mayFinish bool) (phase MovePhase, why string, changed bool) {
 	m := &p.move
 	p.averageRunning += loadWeight * (float64(len(p.calls)) - p.averageRunning)
 	if m.phase != Trial && m.phase != Final {
@@ -117,6 +118,9 @@
 		m.phase = RolledBack
 		return m.phase, bad, true
 	}
+	if !mayFinish {
+		return m.phase, "", false
+	}
 	if m.phase == Trial && now.Add(finalPhaseDuration).After(m.deadline) {
 		if !p.hasCapacity(m.version) {
 			return m.phase, "", false
--- a/internal/placement/move_test.go
+++ b/internal/placement/move_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 )
 
 // moveRun is the result of a simulated move.
@@ -58,7 +59,7 @@
 			}
 			running = append(running, pending{f.now.Add(latency), End{Ask: id, Outcome: o, Latency: latency, Load: &Load{Pace: 1}}})
 		}
-		if phase, _, changed := f.AdvanceMove(f.now); changed && (phase == Done || phase == RolledBack) {
+		if phase, _, changed := f.AdvanceMove(f.now, true); changed && (phase == Done || phase == RolledBack) {
 			r.finished, r.at = phase, f.now.Sub(epoch)
 			if phase == Done {
 				break
@@ -163,7 +164,7 @@
 	}
 	advance := func(d time.Duration) (phase MovePhase) {
 		for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(100 * time.Millisecond) {
-			phase, _, _ = f.AdvanceMove(f.now)
+			phase, _, _ = f.AdvanceMove(f.now, true)
 		}
 		return phase
 	}
@@ -180,6 +181,39 @@
 	assert.Equal(t, Done, advance(4*time.Second))
 }
 
+// Guards against a leader that is cut off from the others and completes a move without the responses that they see, and against one
+// that doesn't roll back a version that fails before its eyes.
+func TestALeaderInTheMinorityOnlyRollsBack(t *testing.T) {
+	n := up("new")
+	n.Version = "v2"
+	f := newFixture(up("old"), n)
+	f.StartMove(f.now, "v2", 2*time.Second)
+	for range 100 {
+		f.now = f.now.Add(100 * time.Millisecond)
+		phase, _, changed := f.AdvanceMove(f.now, false)
+		assert.False(t, changed)
+		assert.Equal(t, Trial, phase)
+	}
+	phase, _, _ := f.AdvanceMove(f.now, true)
+	assert.Equal(t, Final, phase, "as soon as it may")
+
+	f.StartMove(f.now, "v2", 60*time.Second)
+	for range 400 {
+		d, id := f.ask(nil)
+		require.Len(t, d.Grants, 1)
+		outcome := Success
+		if d.Grants[0].Upstream == "new" {
+			outcome = Failure
+		}
+		f.finish(id, outcome)
+		f.now = f.now.Add(50 * time.Millisecond)
+		f.healthy("old")
+		f.healthy("new")
+		phase, _, _ = f.AdvanceMove(f.now, false)
+	}
+	assert.Equal(t, RolledBack, phase)
+}
+
 // Guards against completing a move to a slow version because placement avoids its upstreams, so that there are no responses that
 // show how slow it is. Such a move was completed (scale-1 of hokusei-gw).
 func TestASlowVersionOnTrialGetsSamples(t *testing.T) {
