Forward paths that begin with two slashes unchanged

Such paths are forwarded as path with their encoding now; one that can't be kept is answered 400.

TestPathsPassUnchanged fails without it.

--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -95,7 +95,7 @@
 		x.localReply(http.StatusServiceUnavailable, noConfigRetryAfter, false, "no-configuration")
 		return false
 	}
-	if x.req.Host == "" || x.id == "" || !strings.HasPrefix(x.req.RequestURI, "/") {
+	if x.req.Host == "" || x.id == "" || !strings.HasPrefix(x.req.RequestURI, "/") || !hasExactTarget(x.req) {
 		x.localReply(http.StatusBadRequest, 0, true, "malformed")
 		return false
 	}
@@ -190,11 +190,7 @@
 	if _, ok := header["User-Agent"]; !ok {
 		header["User-Agent"] = []string{""} // prevents net/http from adding its default
 	}
-	path, query, found := strings.Cut(x.req.RequestURI, "?")
-	out := &http.Request{
-		Method: x.req.Method, Host: x.req.Host, Header: header,
-		URL: &url.URL{Scheme: "http", Host: x.req.Host, Opaque: path, RawQuery: query, ForceQuery: found && query == ""},
-	}
+	out := &http.Request{Method: x.req.Method, Host: x.req.Host, Header: header, URL: requestTarget(x.req)}
 	switch {
 	case x.streamed != nil:
 		if !x.streamed.claim() {
@@ -207,6 +203,24 @@
 	return x.s.opts.Transport.RoundTrip(ctx, p.Address, out, x.route.Kind.Idempotent())
 }
 
+// requestTarget returns a URL that is written as the target of the request that was read, byte by byte, if hasExactTarget.
+func requestTarget(req *http.Request) *url.URL {
+	path, query, found := strings.Cut(req.RequestURI, "?")
+	u := &url.URL{Scheme: "http", Host: req.Host, RawQuery: query, ForceQuery: found && query == ""}
+	if strings.HasPrefix(path, "//") {
+		// An opaque part with two slashes would be taken as authority and path. An encoded path is kept if it is valid.
+		u.Path, u.RawPath = req.URL.Path, path
+	} else {
+		u.Opaque = path
+	}
+	return u
+}
+
+// hasExactTarget reports whether the target of a request can be forwarded unchanged.
+func hasExactTarget(req *http.Request) bool {
+	return !strings.HasPrefix(req.RequestURI, "//") || requestTarget(req).RequestURI() == req.RequestURI
+}
+
 var errBodySent = errors.New("the body was sent already")
 
 // finish reports the end of an attempt to the leader and counts it.
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -116,6 +116,9 @@
 		},
 		Limits: gateway.Limits{HeaderBytes: 4096, BodyBytes: 1 << 20, HeaderTimeout: 200 * time.Millisecond, IdleTimeout: 2 * time.Second},
 	}
+	root := route("root", gateway.Unsafe, 2*time.Second)
+	root.Host, root.Prefix = "root.example", "/"
+	config.Routes = append(config.Routes, root)
 	config.Index()
 	r := &testServer{t: t, placer: &placer{config: config}}
 	for i := range upstreams {
@@ -197,6 +200,22 @@
 	assert.NotContains(t, header, "Accept-Encoding")
 }
 
+// Guards against paths that are changed on the way: one with two slashes at its start reached the upstream as another path on another
+// host.
+func TestPathsPassUnchanged(t *testing.T) {
+	r := newTestServer(t, 1)
+	for _, path := range []string{"/", "//", "//nayoro/bins/7", "///x", "//nayoro/%2Fbins//7?x=//y", "/a//b", "//a?", "//h.example:80/a", "/a?b#c"} {
+		r.next++
+		resp := r.send(fmt.Sprintf("POST %s HTTP/1.1\r\nHost: root.example\r\n%s: id%d\r\nContent-Length: 1\r\n\r\nb", path, names.RequestID, r.next))
+		require.Equal(t, http.StatusOK, resp.StatusCode, path)
+		got, _, header := r.placer.upstreams[0].Last()
+		assert.Equal(t, "POST "+path, got)
+		assert.Equal(t, fmt.Sprintf("id%d", r.next), header.Get(names.RequestID))
+	}
+	resp := r.send("POST //a\"b HTTP/1.1\r\nHost: root.example\r\n" + names.RequestID + ": i\r\nContent-Length: 1\r\n\r\nb")
+	assert.Equal(t, http.StatusBadRequest, resp.StatusCode, "a path that can't be forwarded unchanged")
+}
+
 // Guards against a request that is not idempotent and runs twice, and against a status that wrongly says it has not run.
 func TestUnsafeRequestsRunOnce(t *testing.T) {
 	tests := []struct {
