Pass requests on behind a download only when it has been written

Requests behind a download route wait for its end now; behind others they run beside each other as before.

TestRequestsBehindADownloadWaitForIt fails without it.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -54,6 +54,7 @@
 	lingering     bool          // the caller may still send requests that are not read
 	pipelineSlots chan struct{} // semaphore of the concurrent requests
 	lastDone      chan struct{} // closed when the most recently read request has been answered
+	lastPassed    chan struct{} // closed when a request behind the most recently read one may be passed on
 }
 
 // limitedReader limits the number of bytes read for a request header.
@@ -80,8 +81,9 @@
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
-	c := &conn{s: s, nc: nc, limited: &limitedReader{nc: nc, remaining: -1}, pipelineSlots: make(chan struct{}, maxPipelined), lastDone: make(chan struct{})}
+	c := &conn{s: s, nc: nc, limited: &limitedReader{nc: nc, remaining: -1}, pipelineSlots: make(chan struct{}, maxPipelined), lastDone: make(chan struct{}), lastPassed: make(chan struct{})}
 	close(c.lastDone)
+	close(c.lastPassed)
 	c.caller, _, _ = net.SplitHostPort(nc.RemoteAddr().String())
 	c.br = bufio.NewReaderSize(c.limited, readBufferSize)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
@@ -197,8 +199,11 @@
 		return nil
 	}
 	c.requestsRead++
-	x := &exchange{conn: c, s: c.s, req: req, arrived: arrived, previousDone: c.lastDone, done: make(chan struct{}), number: c.requestsRead}
-	c.lastDone = x.done
+	x := &exchange{
+		conn: c, s: c.s, req: req, arrived: arrived, previousDone: c.lastDone, previousPassed: c.lastPassed, done: make(chan struct{}),
+		passed: make(chan struct{}), number: c.requestsRead,
+	}
+	c.lastDone, c.lastPassed = x.done, x.passed
 	return x
 }
 
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -43,11 +43,15 @@
 	req          *http.Request
 	arrived      time.Time
 	previousDone chan struct{} // closed when the previous response of the connection is written
-	done         chan struct{} // closed when this response is written
-	number       int           // sequence number of the request on its connection, from 1
-	body         []byte
-	streamed     *streamedBody
-	rejectStatus int // status of the reply to a request that can't be accepted, or 0
+	// previousPassed is closed when this request may be passed on, passed when the next one of the connection may. A request behind a
+	// download waits until that is written: if it breaks off, the connection closes, and no response behind it can be delivered.
+	previousPassed chan struct{}
+	passed         chan struct{}
+	done           chan struct{} // closed when this response is written
+	number         int           // sequence number of the request on its connection, from 1
+	body           []byte
+	streamed       *streamedBody
+	rejectStatus   int // status of the reply to a request that can't be accepted, or 0
 
 	id            string
 	config        *gateway.Config
@@ -66,6 +70,7 @@
 // run handles the request until it is answered or the caller has disconnected.
 func (x *exchange) run() {
 	defer func() {
+		x.letNextPass()
 		if x.streamed != nil {
 			x.streamed.signalDone()
 		}
@@ -82,10 +87,36 @@
 	}
 	ctx, cancel := context.WithDeadline(x.conn.work, x.deadline)
 	defer cancel()
+	if !x.awaitPass(ctx) {
+		return
+	}
 	for x.try(ctx) {
 	}
 }
 
+// awaitPass waits until the request may be passed on. If its time ends before, it replies and returns false.
+func (x *exchange) awaitPass(ctx context.Context) bool {
+	select {
+	case <-x.previousPassed:
+	case <-ctx.Done():
+		x.answerNotPlaced(ctx.Err())
+		return false
+	}
+	if x.route.Kind != gateway.Download {
+		x.letNextPass()
+	}
+	return true
+}
+
+// letNextPass lets the next request of the connection be passed on. Only the goroutine of the exchange calls it.
+func (x *exchange) letNextPass() {
+	select {
+	case <-x.passed:
+	default:
+		close(x.passed)
+	}
+}
+
 // admit determines the route, deadline, latency objective and service of the request. It replies to a request that can't be
 // routed and returns false.
 func (x *exchange) admit() bool {
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -216,6 +216,32 @@
 	assert.Equal(t, http.StatusBadRequest, resp.StatusCode, "a path that can't be forwarded unchanged")
 }
 
+// Guards against requests that are passed on behind a download that breaks off: it closes the connection, and their responses are lost.
+func TestRequestsBehindADownloadWaitForIt(t *testing.T) {
+	for name, truncate := range map[string]bool{"whole": false, "broken off": true} {
+		t.Run(name, func(t *testing.T) {
+			r := newTestServer(t, 1)
+			r.placer.upstreams[0].Set(standin.Behaviour{BodySize: 2 << 20, Truncate: truncate, Work: 50 * time.Millisecond})
+			c, br := r.dial()
+			_, err := io.WriteString(c, r.request("GET", "/download/x", "")+r.request("GET", "/safe/x", "")+r.request("GET", "/safe/x", ""))
+			require.NoError(t, err)
+			resp := r.read(br)
+			body, err := io.ReadAll(resp.Body)
+			if !truncate {
+				require.NoError(t, err)
+				for range 2 {
+					resp = r.read(br)
+					assert.Equal(t, len(body), len(bodyOf(t, resp)))
+				}
+				return
+			}
+			require.Error(t, err)
+			time.Sleep(100 * time.Millisecond)
+			assert.Zero(t, r.runCount("id2")+r.runCount("id3"), "passed on, but can't be answered")
+		})
+	}
+}
+
 // Guards against a request that is not idempotent and runs twice, and against a status that wrongly says it has not run.
 func TestUnsafeRequestsRunOnce(t *testing.T) {
 	tests := []struct {
