Read idle connections once more before a stopping entry closes them

A stop interrupted the wait for the next request and closed the connection, and it closed the listener with what was in its backlog. A request that had arrived while the process was short of CPU was dropped; the longer ago its caller had sent it, the more it looks lost. Connections are read once more for 5 ms, and the backlog is accepted before the listener closes.

--- a/cmd/boragehinge-entry/run.go
+++ b/cmd/boragehinge-entry/run.go
@@ -195,7 +195,7 @@
 	e.server.Leave(shutdownPlan(now, grace))
 	e.node.Leave()
 	time.Sleep(time.Duration(serveAfterStop * float64(grace)))
-	if err := callers.Close(); err != nil {
+	if err := ingress.StopAccepting(callers); err != nil {
 		e.log.Warn().Err(err).Msg("close the callers' listener")
 	}
 	if err := e.server.Drain(); err != nil {
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -148,21 +148,34 @@
 func (c *conn) awaitRequest(idle time.Duration) bool {
 	for {
 		if !c.setIdleDeadline(idle) {
-			return false
+			return c.lookOnceMore()
 		}
 		_, err := c.br.Peek(1)
 		c.setAwaiting(false)
 		if err == nil {
 			return true
 		}
-		if errors.Is(err, os.ErrDeadlineExceeded) && c.busy() {
-			continue
-		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			c.cancel() // the caller has closed the connection
+			return false
+		}
+		if !c.busy() {
+			return c.lookOnceMore()
 		}
+	}
+}
+
+// lookOnceMore reports whether a request has arrived on a connection that is about to be closed because it is idle.
+func (c *conn) lookOnceMore() bool {
+	c.mu.Lock()
+	idle := !c.closing
+	c.mu.Unlock()
+	if !idle {
 		return false
 	}
+	_ = c.nc.SetReadDeadline(time.Now().Add(lastLook)) // fails only on a closed connection, which Peek reports
+	_, err := c.br.Peek(1)
+	return err == nil
 }
 
 // setIdleDeadline sets the read deadline to the idle timeout, and marks the connection as awaiting a request. It returns false when
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -54,13 +55,16 @@
 
 const acceptRetryDelay = 5 * time.Millisecond
 
-// Serve accepts connections until the listener is closed.
+// Serve accepts connections until the listener is closed or its deadline has passed, see StopAccepting.
 func (s *Server) Serve(l net.Listener) error {
 	for {
 		nc, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return l.Close()
+		}
 		if err != nil {
 			// File descriptors may be exhausted temporarily; callers wait in the listener's backlog meanwhile.
 			s.opts.Log.Warn().Err(err).Msg("accept")
--- a/internal/ingress/shutdown.go
+++ b/internal/ingress/shutdown.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"time"
 )
 
@@ -16,6 +17,9 @@
 	finalReplyTimeout = 150 * time.Millisecond
 	// lingerTimeout bounds the wait for the caller to close its side of a connection.
 	lingerTimeout = 500 * time.Millisecond
+	// lastLook is the time for which an idle connection is read once more before it is closed, since a request may have arrived while
+	// the process was short of CPU.
+	lastLook = 5 * time.Millisecond
 )
 
 // Shutdown is the schedule of a graceful shutdown.
@@ -35,6 +39,18 @@
 // Leave starts a graceful shutdown: each further response closes its connection, unless another request was already read from it.
 func (s *Server) Leave(plan Shutdown) { s.shutdown.Store(&plan) }
 
+// acceptTail is the time in which connections that callers have already opened are accepted before the listener is closed.
+const acceptTail = 20 * time.Millisecond
+
+// StopAccepting closes the listener of Serve when the connections in its backlog have been accepted.
+func StopAccepting(l net.Listener) error {
+	limited, ok := l.(interface{ SetDeadline(t time.Time) error })
+	if !ok {
+		return l.Close()
+	}
+	return limited.SetDeadline(time.Now().Add(acceptTail))
+}
+
 // Drain closes idle connections and waits until the others have closed. At the end of the shutdown that Leave has started, it replies to
 // the requests that are still running. The error tells that connections are open nevertheless.
 func (s *Server) Drain() error {
