Free standalone slots when a leader takes over

An entry that had placed requests without a leader kept their slots for good when the next leader took them over, as the results went to the new leader only. Standalone pools take one request for each upstream, so from the second time without a leader on requests waited there until their deadline.

The session of the standalone pools frees its slots when it ends. TestStandaloneSlotsAreFreeAfterTheNextLeader runs into its deadline without it.

--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -319,6 +319,15 @@
 	return ch
 }
 
+// end closes the channels of the asks that wait. In the standalone coordinator, which outlives the session, it also frees the slots of
+// running attempts, since their results are reported to the next session.
+func (s *localSession) end() {
+	s.pendingReplies.end()
+	if s.coordinator.standalone {
+		s.coordinator.RemoveClient(time.Now(), s)
+	}
+}
+
 func (s *localSession) cancel(ask uint64) { s.coordinator.Cancel(s, ask) }
 
 func (s *localSession) finish(e End) { s.coordinator.Finish(time.Now(), s, e) }
--- a/internal/coordinator/standalone_test.go
+++ b/internal/coordinator/standalone_test.go
@@ -171,3 +171,24 @@
 	}
 	assert.Zero(t, reads)
 }
+
+// Guards against slots that stay occupied after a time without a leader: the results of attempts that were running when the next leader
+// took them over never reached the standalone pools, which take one request for each upstream.
+func TestStandaloneSlotsAreFreeAfterTheNextLeader(t *testing.T) {
+	n, store := newStartedNode(t)
+	store.PutUpstream("u1", "v1", 9000, 1)
+	require.NotNil(t, n.AwaitConfig(t.Context(), 10*time.Second))
+	for range 3 {
+		p, err := place(t, n)
+		require.NoError(t, err)
+		next := newLocalSession(NewCoordinator(n.limits(), false))
+		n.adoptRunning(next)
+		n.setSession(next)
+		p.Finish(placement.Success, time.Millisecond, nil)
+		n.setSession(newLocalSession(n.standalone))
+	}
+	p, err := place(t, n)
+	require.NoError(t, err)
+	assert.Equal(t, 1, p.Running)
+	p.Finish(placement.Success, time.Millisecond, nil)
+}
