Close a connection whose response was written in part

When a caller stalled for 10 s, a buffered response ended in the middle and the response to the next pipelined request followed in its place. The connection is closed now, as it was for streamed ones. A body of exactly the largest size with a length ended as 502, because the read that finds its end counted as beyond the limit; it is accepted now.

TestNothingFollowsAPartialResponse and TestBodyOfExactlyTheLimitIsAccepted fail without the parts that they guard.

--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -27,11 +27,11 @@
 
 // Read implements io.Reader.
 func (b *streamedBody) Read(p []byte) (int, error) {
-	if b.remaining <= 0 {
-		return 0, errBodyTooLarge
-	}
 	n, err := b.r.Read(p)
 	b.remaining -= int64(n)
+	if b.remaining < 0 {
+		return 0, errBodyTooLarge
+	}
 	if err != nil {
 		b.mu.Lock()
 		b.eof = errors.Is(err, io.EOF)
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -307,6 +307,16 @@
 	return c.lingering
 }
 
+// abort cancels all requests of the connection and closes it, after a response that could not be written in full. The close before the
+// announced length or the last chunk shows the caller that the response is truncated, and nothing can follow in its place.
+func (c *conn) abort() {
+	c.mu.Lock()
+	c.closing = true
+	c.mu.Unlock()
+	c.cancel()
+	_ = c.nc.Close() // the response is incomplete in any case
+}
+
 func (c *conn) requestDone() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/ingress/conn_test.go
+++ b/internal/ingress/conn_test.go
@@ -1,8 +1,10 @@
 package ingress
 
 import (
+	"io"
 	"net"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -58,3 +60,51 @@
 	_, err = net.Dial("tcp", l.Addr().String())
 	assert.Error(t, err, "the listener is closed")
 }
+
+// stalledConn takes a part of what is written and fails then, as a connection whose caller doesn't read.
+type stalledConn struct {
+	pendingConn
+	written string
+	closed  bool
+}
+
+func (s *stalledConn) Write(b []byte) (int, error) {
+	if s.closed {
+		return 0, net.ErrClosed
+	}
+	n := min(10, len(b))
+	s.written += string(b[:n])
+	return n, os.ErrDeadlineExceeded
+}
+
+func (*stalledConn) SetWriteDeadline(time.Time) error { return nil }
+
+func (s *stalledConn) Close() error {
+	s.closed = true
+	return nil
+}
+
+// Guards against a response that follows in the place of the rest of the one before it, when that was written in part only.
+func TestNothingFollowsAPartialResponse(t *testing.T) {
+	nc := &stalledConn{}
+	c := newConn(&Server{}, nc)
+	x := &exchange{conn: c, s: c.s}
+	x.writeLocalReply([]byte("HTTP/1.1 503 Service Unavailable\r\n\r\n"))
+	assert.True(t, nc.closed)
+	assert.Error(t, c.ctx.Err(), "the other requests of the connection are cancelled")
+	x.writeLocalReply([]byte("HTTP/1.1 200 OK\r\n\r\n"))
+	assert.Equal(t, "HTTP/1.1 5", nc.written)
+}
+
+// Guards against a body of exactly the largest size that is refused, and against a larger one that is accepted.
+func TestBodyOfExactlyTheLimitIsAccepted(t *testing.T) {
+	for size, want := range map[int]error{99: nil, 100: nil, 101: errBodyTooLarge} {
+		b := newStreamedBody([]byte("0123456789"), strings.NewReader(strings.Repeat("b", size-10)), 100)
+		got, err := io.ReadAll(b)
+		assert.ErrorIs(t, err, want, size)
+		if want == nil {
+			assert.Len(t, got, size)
+			assert.True(t, b.complete())
+		}
+	}
+}
--- a/internal/ingress/write.go
+++ b/internal/ingress/write.go
@@ -57,13 +57,13 @@
 func (x *exchange) writeLocalReply(b []byte) {
 	_ = x.conn.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if _, err := x.conn.nc.Write(b); err != nil {
-		x.conn.cancel()
+		x.conn.abort()
 	}
 }
 
 // writeResponse forwards the response of an upstream. bodyStart is the part of the body that was buffered, rest the
 // remainder of a large body, or nil. On an error the caller did not get the whole response: all requests of its connection are
-// cancelled, and if the body was being streamed, the connection is closed.
+// cancelled, and it is closed.
 func (x *exchange) writeResponse(resp *transport.Response, bodyStart []byte, rest io.Reader) error {
 	x.s.opts.Metrics.responses.WithLabelValues(strconv.Itoa(resp.StatusCode)).Inc()
 	x.s.opts.Metrics.latency.Observe(time.Since(x.arrived).Seconds())
@@ -74,16 +74,13 @@
 	if rest == nil {
 		b = append(b, bodyStart...)
 		if _, err := x.conn.nc.Write(b); err != nil {
-			x.conn.cancel()
+			x.conn.abort()
 			return fmt.Errorf("write to the caller: %w", err)
 		}
 		return nil
 	}
 	if err := x.streamResponse(b, bodyStart, rest, chunked); err != nil {
-		// Closing the connection before the announced length or the last chunk shows the caller that the response is truncated.
-		x.conn.decideClose(x.number, true, false)
-		x.conn.cancel()
-		_ = x.conn.nc.Close()
+		x.conn.abort()
 		return err
 	}
 	return nil
