Let the leader's crash histories replace those of the time without one

A request that had succeeded at the leader stayed refused in the standalone pools, since histories were only added there. Found when reading the diff; TestCrashesAreKnownWithoutALeader covers it.

--- a/internal/coordinator/follow.go
+++ b/internal/coordinator/follow.go
@@ -57,7 +57,10 @@
 
 // hello introduces this entry to a leader.
 func (n *Node) hello(running []Running) *Hello {
-	return &Hello{Entry: n.o.Self, Leaving: n.Leaving(), AcceptsPacked: true, Running: running, Limits: n.upstreamLimits(), LeavingUpstreams: n.leavingUpstreams(), Histories: n.currentHistories()}
+	return &Hello{
+		Entry: n.o.Self, Leaving: n.Leaving(), AcceptsPacked: true, Running: running, Limits: n.upstreamLimits(),
+		LeavingUpstreams: n.leavingUpstreams(), Histories: n.currentHistories(),
+	}
 }
 
 // adoptRunning moves the running attempts to a session, to which their results will be reported, and returns them.
--- a/internal/coordinator/history.go
+++ b/internal/coordinator/history.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"boragehinge.example/boragehinge/internal/placement"
 )
 
 // historyInterval is the time between two messages of a leader with its history.
@@ -30,16 +32,26 @@
 	return out
 }
 
-// AdoptHistories adds the histories of another leader to the pools. The retry budget of an entry without a leader is one of its own.
+// AdoptHistories adds the histories of another leader to the pools of this one.
 func (c *Coordinator) AdoptHistories(now time.Time, histories []ServiceHistory) {
+	c.adopt(histories, func(pool *placement.Pool, h *ServiceHistory) {
+		pool.AdoptCrashes(now, h.Crashes)
+		pool.AdoptBudgetUse(now, h.Budget)
+	})
+}
+
+// FollowHistories takes over the crash histories of the leader, for the time without one. The retry budget of that time is one of its
+// own.
+func (c *Coordinator) FollowHistories(now time.Time, histories []ServiceHistory) {
+	c.adopt(histories, func(pool *placement.Pool, h *ServiceHistory) { pool.ReplaceCrashes(now, h.Crashes) })
+}
+
+func (c *Coordinator) adopt(histories []ServiceHistory, apply func(*placement.Pool, *ServiceHistory)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, h := range histories {
-		if pool := c.pools[h.Service]; pool != nil {
-			pool.AdoptCrashes(now, h.Crashes)
-			if !c.standalone {
-				pool.AdoptBudgetUse(now, h.Budget)
-			}
+	for i := range histories {
+		if pool := c.pools[histories[i].Service]; pool != nil {
+			apply(pool, &histories[i])
 		}
 	}
 }
@@ -52,7 +64,7 @@
 	for _, h := range histories {
 		n.histories[h.Service] = knownHistory{h, now}
 	}
-	n.standalone.AdoptHistories(now, histories)
+	n.standalone.FollowHistories(now, histories)
 }
 
 // knownHistories returns the histories with their ages as of now. The caller holds n.mu.
--- a/internal/coordinator/history_test.go
+++ b/internal/coordinator/history_test.go
@@ -120,8 +120,11 @@
 
 // Guards against an entry without a leader that lets a crashing request through although a leader has told of the crashes.
 func TestCrashesAreKnownWithoutALeader(t *testing.T) {
-	n, _ := newStartedNode(t)
+	n, store := newStartedNode(t)
+	store.PutUpstream("u1", "v1", 9000, 1)
 	require.NotNil(t, n.AwaitConfig(t.Context(), time.Second))
 	n.learnHistories(crashHistoryOf(3))
 	assert.True(t, refusesCrasher(t, n))
+	n.learnHistories([]ServiceHistory{{Service: "s"}})
+	assert.False(t, refusesCrasher(t, n), "the leader has seen the request succeed")
 }
--- a/internal/placement/crash.go
+++ b/internal/placement/crash.go
@@ -131,6 +131,12 @@
 	return out[:min(maxSharedCrashes, len(out))]
 }
 
+// ReplaceCrashes replaces the crash histories by those of another pool of the service.
+func (p *Pool) ReplaceCrashes(now time.Time, histories []CrashHistory) {
+	clear(p.crashes)
+	p.AdoptCrashes(now, histories)
+}
+
 // AdoptCrashes adds crash histories of another pool of the service to those of this one.
 func (p *Pool) AdoptCrashes(now time.Time, histories []CrashHistory) {
 	for _, adopted := range histories {
