Count retries until they have left the window of the budget

The window was kept in ten buckets with the current one among them, so a burst was forgotten up to a tenth of the window too early and the allowance granted again. Retries are kept for one bucket more. The share of the part that grows with the requests goes from 0.8 to 0.9 in return, as the rest was a margin for this.

--- a/internal/placement/budget.go
+++ b/internal/placement/budget.go
@@ -3,10 +3,14 @@
 import "time"
 
 const (
+	// budgetBuckets is the number of buckets of the window.
 	budgetBuckets = 10
+	// keptBuckets is the number of buckets whose retries count. One more than those of the window, as the current one has just begun at
+	// times and the oldest one must count until it has left the window whole.
+	keptBuckets = budgetBuckets + 1
 	// usedRatioShare is the fraction of RetryRatio that a pool uses. Leaders that place at the same time, or one after the other,
-	// count different requests, so a margin is needed only for the granularity of the buckets.
-	usedRatioShare = 0.8
+	// count different requests, so a margin is needed only for retries that arrive late and requests that are submitted twice.
+	usedRatioShare = 0.9
 	// usedBurstShare is the fraction of RetryBurst that a pool uses. Two leaders at the same time may each use this much.
 	usedBurstShare = 0.4
 	// callerRetriesShare is the fraction of the budget that is open to requests whose caller will retry after a refusal. A
@@ -18,19 +22,19 @@
 type budget struct {
 	bucketLength  time.Duration
 	bucketStart   time.Time
-	requests      [budgetBuckets]float64
-	retries       [budgetBuckets]float64
+	requests      [keptBuckets]float64
+	retries       [keptBuckets]float64
 	currentBucket int
 }
 
 func (b *budget) advance(now time.Time, window time.Duration) {
 	b.bucketLength = budgetBucketLength(window)
-	if b.bucketStart.IsZero() || now.Sub(b.bucketStart) > window {
+	if b.bucketStart.IsZero() || now.Sub(b.bucketStart) > keptBuckets*b.bucketLength {
 		*b = budget{bucketLength: b.bucketLength, bucketStart: now}
 	}
 	for now.Sub(b.bucketStart) >= b.bucketLength {
 		b.bucketStart = b.bucketStart.Add(b.bucketLength)
-		b.currentBucket = (b.currentBucket + 1) % budgetBuckets
+		b.currentBucket = (b.currentBucket + 1) % keptBuckets
 		b.requests[b.currentBucket], b.retries[b.currentBucket] = 0, 0
 	}
 }
@@ -43,9 +47,9 @@
 
 // Aged returns the use as it is some time later in a window.
 func (u BudgetUse) Aged(d, window time.Duration) BudgetUse {
-	passed := min(budgetBuckets, int(d/budgetBucketLength(window)))
+	passed := min(keptBuckets, int(d/budgetBucketLength(window)))
 	shift := func(counts []float64) []float64 {
-		return append(make([]float64, passed), counts[:max(0, min(len(counts), budgetBuckets-passed))]...)
+		return append(make([]float64, passed), counts[:max(0, min(len(counts), keptBuckets-passed))]...)
 	}
 	return BudgetUse{Requests: shift(u.Requests), Retries: shift(u.Retries)}
 }
@@ -65,11 +69,11 @@
 }
 
 // bucket returns the index of the bucket of an age.
-func (b *budget) bucket(age int) int { return (b.currentBucket + budgetBuckets - age) % budgetBuckets }
+func (b *budget) bucket(age int) int { return (b.currentBucket + keptBuckets - age) % keptBuckets }
 
 func (b *budget) use() BudgetUse {
-	u := BudgetUse{Requests: make([]float64, budgetBuckets), Retries: make([]float64, budgetBuckets)}
-	for age := range budgetBuckets {
+	u := BudgetUse{Requests: make([]float64, keptBuckets), Retries: make([]float64, keptBuckets)}
+	for age := range keptBuckets {
 		u.Requests[age], u.Retries[age] = b.requests[b.bucket(age)], b.retries[b.bucket(age)]
 	}
 	return u
@@ -77,7 +81,7 @@
 
 // adopt raises the counts to those of another pool. Counts aren't added, because the same ones may be told several times.
 func (b *budget) adopt(u BudgetUse) {
-	for age := range min(budgetBuckets, len(u.Requests), len(u.Retries)) {
+	for age := range min(keptBuckets, len(u.Requests), len(u.Retries)) {
 		i := b.bucket(age)
 		b.requests[i] = max(b.requests[i], u.Requests[age])
 		b.retries[i] = max(b.retries[i], u.Retries[age])
@@ -100,9 +104,11 @@
 // retries; such an attempt may only use a part of the budget.
 func (b *budget) allow(s *Spec, callerRetries bool) bool {
 	var requests, retries float64
-	for i := range b.requests {
-		requests += b.requests[i]
-		retries += b.retries[i]
+	for age := range keptBuckets {
+		retries += b.retries[b.bucket(age)]
+		if age < budgetBuckets {
+			requests += b.requests[b.bucket(age)]
+		}
 	}
 	allowed := usedRatioShare*s.RetryRatio*requests + usedBurstShare*s.RetryBurst
 	if callerRetries {
--- a/internal/placement/budget_test.go
+++ b/internal/placement/budget_test.go
@@ -52,6 +52,40 @@
 	})
 }
 
+// Guards against retries that stop counting before they have left the window: after a burst at the end of a bucket the same burst was
+// granted again 9.1 s later (found by TestRetriesStayWithinTheBudget).
+func TestRetriesCountForTheWholeWindow(t *testing.T) {
+	const window = 10 * time.Second
+	f := newFixture(up("a"), up("b"))
+	var requests, retries []time.Time
+	ask := func(attempt int) bool {
+		f.healthy("a")
+		f.healthy("b")
+		d, id := f.ask(func(a *Ask) { a.Attempt = attempt })
+		if len(d.Grants) == 0 {
+			return false
+		}
+		f.finish(id, NotRun)
+		f.clearFullBackoff()
+		return true
+	}
+	for step := range 200 {
+		f.now = epoch.Add(time.Duration(step) * 100 * time.Millisecond)
+		for range 10 {
+			requests = append(requests, f.now)
+			ask(1)
+		}
+		inBurst := step == 99 || step == 191 // the end of one bucket, and 9.2 s later
+		for inBurst && ask(2) {
+			retries = append(retries, f.now)
+		}
+	}
+	for _, end := range retries {
+		allowed := 0.2*float64(countInWindow(requests, end, window)) + 60
+		require.LessOrEqual(t, float64(countInWindow(retries, end, window)), allowed)
+	}
+}
+
 // Guards against a series of leaders each of which spends the burst of the budget anew: retries reached 1.2 times what is allowed when
 // entries were stopped one after the other (BUDGET).
 func TestRetriesStayWithinTheBudgetAcrossLeaders(t *testing.T) {
