Count the retries of the first version for their whole window too

The retry budget of the calls' own service had the fault of the platform's one: its window covered 0.9 to 1 s, so a burst at the end of a bucket was granted again 0.91 s later. TestRetriesCountForTheWholeWindow of internal/retry fails without the further bucket.

--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -5,8 +5,13 @@
 	"time"
 )
 
-// bucketCount is the number of buckets in the sliding window of a budget.
-const bucketCount = 10
+const (
+	// bucketCount is the number of buckets in the sliding window of a budget.
+	bucketCount = 10
+	// keptBuckets is the number of buckets whose attempts count. One more than those of the window, as the current one has just begun at
+	// times and the oldest one must count until it has left the window whole.
+	keptBuckets = bucketCount + 1
+)
 
 // Limits of the retry and hedge budgets.
 const (
@@ -25,8 +30,8 @@
 
 	mu    sync.Mutex
 	index int64 // number of the newest bucket since the Unix epoch
-	calls [bucketCount]int
-	taken [bucketCount]int // retries or hedges
+	calls [keptBuckets]int
+	taken [keptBuckets]int // retries or hedges
 }
 
 // NewBudget returns a budget of ratio*calls + perSecond*window attempts in any window.
@@ -45,7 +50,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
-	b.calls[b.index%bucketCount]++
+	b.calls[b.index%keptBuckets]++
 }
 
 // Take consumes budget for one retry or hedge and reports whether there was enough.
@@ -54,14 +59,17 @@
 	defer b.mu.Unlock()
 	b.advance(now)
 	calls, taken := 0, 0
-	for i := range bucketCount {
-		calls += b.calls[i]
+	for age := range min(keptBuckets, b.index+1) {
+		i := (b.index - age) % keptBuckets
 		taken += b.taken[i]
+		if age < bucketCount {
+			calls += b.calls[i]
+		}
 	}
 	if float64(taken+1) > b.ratio*float64(calls)+b.fixedPerWindow {
 		return false
 	}
-	b.taken[b.index%bucketCount]++
+	b.taken[b.index%keptBuckets]++
 	return true
 }
 
@@ -69,11 +77,11 @@
 // current.
 func (b *Budget) advance(now time.Time) {
 	index := now.UnixNano() / int64(b.bucketLength)
-	for n := 0; b.index < index && n < bucketCount; n++ {
+	for n := 0; b.index < index && n < keptBuckets; n++ {
 		b.index++
-		if n == 0 && index-b.index >= bucketCount {
-			b.index = index - bucketCount + 1
+		if n == 0 && index-b.index >= keptBuckets {
+			b.index = index - keptBuckets + 1
 		}
-		b.calls[b.index%bucketCount], b.taken[b.index%bucketCount] = 0, 0
+		b.calls[b.index%keptBuckets], b.taken[b.index%keptBuckets] = 0, 0
 	}
 }
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -47,6 +47,17 @@
 	})
 }
 
+// Guards against retries that stop counting before they have left the window: a burst at the end of a bucket was granted again 0.91 s
+// later.
+func TestRetriesCountForTheWholeWindow(t *testing.T) {
+	b := NewRetryBudget()
+	endOfBucket := start.Truncate(100 * time.Millisecond).Add(99 * time.Millisecond)
+	for b.Take(endOfBucket) {
+	}
+	assert.False(t, b.Take(endOfBucket.Add(910*time.Millisecond)))
+	assert.True(t, b.Take(endOfBucket.Add(1010*time.Millisecond)))
+}
+
 // Guards against a budget that permits no retries for a service with few calls.
 func TestBudgetServesFewCalls(t *testing.T) {
 	b := NewRetryBudget()
