--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -81,7 +81,10 @@
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
-	c := &conn{s: s, nc: nc, limited: &limitedReader{nc: nc, remaining: -1}, pipelineSlots: make(chan struct{}, maxPipelined), lastDone: make(chan struct{}), lastPassed: make(chan struct{})}
+	c := &conn{
+		s: s, nc: nc, limited: &limitedReader{nc: nc, remaining: -1}, pipelineSlots: make(chan struct{}, maxPipelined),
+		lastDone: make(chan struct{}), lastPassed: make(chan struct{}),
+	}
 	close(c.lastDone)
 	close(c.lastPassed)
 	c.caller, _, _ = net.SplitHostPort(nc.RemoteAddr().String())
