Reach pools through WithPool, and share a loop of the budget tests

Coordinator.adopt repeated what WithPool does; the histories use it now. No change of behaviour; the tests keep their assertions. Tests of the coordinator on crashes, budgets, histories, standalone placement and leaders pass with the race detector, those of the pool without; the linter finds nothing in both.

--- a/internal/coordinator/history.go
+++ b/internal/coordinator/history.go
@@ -34,25 +34,19 @@
 
 // AdoptHistories adds the histories of another leader to the pools of this one.
 func (c *Coordinator) AdoptHistories(now time.Time, histories []ServiceHistory) {
-	c.adopt(histories, func(pool *placement.Pool, h *ServiceHistory) {
-		pool.AdoptCrashes(now, h.Crashes)
-		pool.AdoptBudgetUse(now, h.Budget)
-	})
+	for _, h := range histories {
+		c.WithPool(h.Service, func(pool *placement.Pool) {
+			pool.AdoptCrashes(now, h.Crashes)
+			pool.AdoptBudgetUse(now, h.Budget)
+		})
+	}
 }
 
 // FollowHistories takes over the crash histories of the leader, for the time without one. The retry budget of that time is one of its
 // own.
 func (c *Coordinator) FollowHistories(now time.Time, histories []ServiceHistory) {
-	c.adopt(histories, func(pool *placement.Pool, h *ServiceHistory) { pool.ReplaceCrashes(now, h.Crashes) })
-}
-
-func (c *Coordinator) adopt(histories []ServiceHistory, apply func(*placement.Pool, *ServiceHistory)) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for i := range histories {
-		if pool := c.pools[histories[i].Service]; pool != nil {
-			apply(pool, &histories[i])
-		}
+	for _, h := range histories {
+		c.WithPool(h.Service, func(pool *placement.Pool) { pool.ReplaceCrashes(now, h.Crashes) })
 	}
 }
 
--- a/internal/placement/budget_test.go
+++ b/internal/placement/budget_test.go
@@ -16,17 +16,7 @@
 		now := epoch
 		pools := []*fixture{newFixture(up("a"), up("b")), newFixture(up("a"), up("b"))}
 		ask := func(attempt int, returns bool) bool {
-			f := pools[rapid.IntRange(0, 1).Draw(t, "entry")]
-			f.now = now
-			f.healthy("a")
-			f.healthy("b")
-			d, id := f.ask(func(a *Ask) { a.Attempt, a.Returns = attempt, returns })
-			if len(d.Grants) == 0 {
-				return false
-			}
-			f.finish(id, NotRun)
-			f.clearFullBackoff()
-			return true
+			return pools[rapid.IntRange(0, 1).Draw(t, "entry")].refusedAttempt(now, attempt, returns)
 		}
 		var requests, retries []time.Time
 		for range rapid.IntRange(10, 60).Draw(t, "seconds") {
@@ -58,17 +48,7 @@
 	const window = 10 * time.Second
 	f := newFixture(up("a"), up("b"))
 	var requests, retries []time.Time
-	ask := func(attempt int) bool {
-		f.healthy("a")
-		f.healthy("b")
-		d, id := f.ask(func(a *Ask) { a.Attempt = attempt })
-		if len(d.Grants) == 0 {
-			return false
-		}
-		f.finish(id, NotRun)
-		f.clearFullBackoff()
-		return true
-	}
+	ask := func(attempt int) bool { return f.refusedAttempt(f.now, attempt, false) }
 	for step := range 200 {
 		f.now = epoch.Add(time.Duration(step) * 100 * time.Millisecond)
 		for range 10 {
@@ -94,18 +74,7 @@
 		now := epoch
 		f := newFixture(up("a"), up("b"))
 		var requests, retries []time.Time
-		ask := func(attempt int) bool {
-			f.now = now
-			f.healthy("a")
-			f.healthy("b")
-			d, id := f.ask(func(a *Ask) { a.Attempt = attempt })
-			if len(d.Grants) == 0 {
-				return false
-			}
-			f.finish(id, NotRun)
-			f.clearFullBackoff()
-			return true
-		}
+		ask := func(attempt int) bool { return f.refusedAttempt(now, attempt, false) }
 		for range rapid.IntRange(10, 40).Draw(t, "leaders") {
 			for range rapid.IntRange(0, 12).Draw(t, "requests") {
 				requests = append(requests, now)
@@ -141,6 +110,20 @@
 	return n
 }
 
+// refusedAttempt submits an attempt to the upstreams a and b, which refuse it, and reports whether it was granted.
+func (f *fixture) refusedAttempt(now time.Time, attempt int, returns bool) bool {
+	f.now = now
+	f.healthy("a")
+	f.healthy("b")
+	d, id := f.ask(func(a *Ask) { a.Attempt, a.Returns = attempt, returns })
+	if len(d.Grants) == 0 {
+		return false
+	}
+	f.finish(id, NotRun)
+	f.clearFullBackoff()
+	return true
+}
+
 // clearFullBackoff makes upstreams that refused a request usable again immediately.
 func (f *fixture) clearFullBackoff() {
 	for _, u := range f.upstreams {
