Treat a response without a length as cut when a write sees the reset

What callers saw: an upstream answered a large upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete response.

Cause: the kernel reports the failure of a connection to one system call only. If that is the write of the request, reads deliver what has arrived and then end like those of a connection that the upstream has closed in order. The transport recorded a reset that a read had reported, and took the end of the reads for the end of the response otherwise.

Change: each connection keeps the error of its last write. At the end of a response without a length the transport stops the write in progress, which is useless from then on because such a connection is never used again, and looks at that error. A reset or another failure makes the response a lost one; EPIPE doesn't, since a write gets it first only when the upstream has ended its response in order and then refused the rest of the upload. Setting the write deadline before taking the lock that a write holds leaves no write whose error is unknown.

Why it works: the failure is reported to exactly one of two places, and both are looked at now.

--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -37,6 +38,8 @@
 	received        atomic.Bool  // bytes arrived since the current request began
 	readErr         error        // error of the last read, owned by the reader of the response
 	readReset       bool         // a read has reported a reset, which later ones report as EOF; owned as readErr
+	writeMu         sync.Mutex   // held during a write
+	writeErr        error        // error of the last write, guarded by writeMu
 	headerBytesLeft int64        // bytes that may still be read for the response header; negative means no limit
 }
 
@@ -84,6 +87,8 @@
 // Write implements io.Writer.
 func (w *connWriter) Write(b []byte) (int, error) {
 	c := (*conn)(w)
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
 	// Counted before the system call: the upstream may respond, and the reader may load the count, before Write returns.
 	c.written.Add(int64(len(b)))
 	c.writeSince.Store(time.Now().UnixNano())
@@ -92,6 +97,7 @@
 	c.writeSince.Store(0)
 	c.lastWrite.Store(time.Now().UnixNano())
 	c.written.Add(int64(n - len(b)))
+	c.writeErr = err
 	return n, err
 }
 
--- a/internal/transport/response.go
+++ b/internal/transport/response.go
@@ -45,7 +45,7 @@
 	if resp.Body == http.NoBody {
 		x.finish(x.reusable(resp))
 	} else {
-		resp.Body = &body{rc: resp.Body, x: x, reusable: x.reusable(resp)}
+		resp.Body = &body{rc: resp.Body, x: x, reusable: x.reusable(resp), undelimited: undelimited(resp)}
 	}
 	if x.c.connPool.cfg.NotRun(resp) {
 		return nil, x.notRunError(out)
@@ -71,12 +71,11 @@
 		if resp.StatusCode < 200 {
 			continue
 		}
-		undelimited := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
-		if undelimited && !x.c.connPool.cfg.AcceptUndelimited {
+		if undelimited(resp) && !x.c.connPool.cfg.AcceptUndelimited {
 			return nil, malformed{errUndelimited}
 		}
 		if !x.answersRequest(resp) {
-			if err := x.discardResponse(resp, undelimited); err != nil {
+			if err := x.discardResponse(resp); err != nil {
 				return nil, err
 			}
 			continue
@@ -86,6 +85,11 @@
 	return nil, malformed{errors.New("too many informational responses")}
 }
 
+// undelimited reports whether the end of the body is marked only by the close of the connection.
+func undelimited(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+}
+
 // answersRequest reports whether a response belongs to the request and not to an earlier one of the connection.
 func (x *exchange) answersRequest(resp *http.Response) bool {
 	identified := x.identified(resp)
@@ -105,8 +109,8 @@
 type malformed struct{ error }
 
 // discardResponse reads and discards a response to another request.
-func (x *exchange) discardResponse(resp *http.Response, undelimited bool) error {
-	if undelimited || resp.Close {
+func (x *exchange) discardResponse(resp *http.Response) error {
+	if undelimited(resp) || resp.Close {
 		return malformed{errMismatched}
 	}
 	x.c.headerBytesLeft = -1
@@ -242,11 +246,6 @@
 		errors.Is(err, syscall.EPIPE) || errors.Is(err, net.ErrClosed)
 }
 
-// IsReset reports whether the peer has reset the connection. A write after that fails with EPIPE.
-func IsReset(err error) bool {
-	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
-}
-
 // idleFor returns the time for which a reused connection had carried nothing before the request. It is 0 for a new connection and once
 // the header of the response has arrived.
 func (x *exchange) idleFor() time.Duration {
@@ -287,10 +286,11 @@
 
 // body is a response body. The connection can be reused only if the body is read to its end.
 type body struct {
-	rc       io.ReadCloser
-	x        *exchange
-	reusable bool
-	err      error
+	rc          io.ReadCloser
+	x           *exchange
+	reusable    bool
+	undelimited bool
+	err         error
 }
 
 // Read implements io.Reader. Errors other than io.EOF are *Error with the kind Unknown.
@@ -299,6 +299,11 @@
 		return 0, b.err
 	}
 	n, err := b.rc.Read(p)
+	if err == io.EOF && b.undelimited {
+		if broken := b.x.c.checkOrderlyEnd(); broken != nil {
+			err = broken
+		}
+	}
 	if err == io.EOF {
 		b.err = io.EOF
 		b.x.finish(b.reusable)
