Reject responses whose header HTTP/1.1 doesn't allow

What callers saw: an upstream in trouble sent a header line with a blank in its name. The caller got the line as it was, one of them a second length ("Content-Length : 5") that contradicted the entry's own; where the line had been the length or the coding, the body was another one than the upstream's.

Cause: http.ReadResponse accepts names with spaces, and the ingress writes all names that it gets. The parser also repairs or ignores other things, so that what is passed on isn't what was sent: a line that begins with white space becomes part of the value before it (of the signature, for example), a transfer coding in HTTP/1.0 is dropped and its chunks are the body, and any protocol version is accepted.

Names with control bytes were malformed before as well, by the parser of this Go version; their cases stay as tests.

The transport checks the header of each response, informational ones included, while it is in the read buffer, and parses it afterwards. A malformed line fails the attempt like a lost response: the caller gets 502, or the response of another upstream if the request may be repeated. As before, a line is rejected as soon as it has arrived. The read buffer grows up to the limit of headers and shrinks before the connection is used again. The check of the status code moves there from the transport.

The stand-in upstream gets the behaviour HeaderLine.

--- a/internal/ingress/broken_test.go
+++ b/internal/ingress/broken_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -45,3 +46,29 @@
 		})
 	}
 }
+
+// malformedFields are header lines that HTTP/1.1 doesn't allow.
+var malformedFields = []string{
+	"X-Cache Hit: 1", "Content-Length : 5", "Content-Length\t: 5", "Transfer-Encoding : chunked", " Content-Length: 5", "\tX-Cache: 1",
+	"X-\x01Cache: 1", "X-Cache\x00: 1", "X-\x7fCache: 1", "X-\rCache: 1", "\x1fX-Cache: 1", ": 1", "X-Cache",
+}
+
+// Guards against a caller that gets a response with a header line that is none in HTTP/1.1, and against repeating a request that must not
+// run twice after one.
+func TestResponsesWithMalformedFieldsAreReplaced(t *testing.T) {
+	for _, line := range malformedFields {
+		t.Run(strconv.Quote(line), func(t *testing.T) {
+			r := newTestServer(t, 2)
+			r.placer.upstreams[0].Set(standin.Behaviour{HeaderLine: line})
+			resp := r.send(r.request("POST", "/unsafe/x", "b"))
+			assert.Equal(t, http.StatusBadGateway, resp.StatusCode)
+			assert.Empty(t, resp.Header.Get(names.Stamp))
+			assert.Equal(t, 1, r.runCount("id1"))
+			resp = r.send(r.request("GET", "/safe/x", ""))
+			assert.Equal(t, http.StatusOK, resp.StatusCode)
+			assert.Equal(t, "u1.id2", resp.Header.Get(names.Stamp))
+			assert.Equal(t, "served by u1", bodyOf(t, resp))
+			assert.Equal(t, []string{"lost", "lost", "success"}, r.placer.seen())
+		})
+	}
+}
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -45,7 +45,7 @@
 
 func newConn(p *connPool, nc net.Conn) *conn {
 	c := &conn{connPool: p, nc: nc, lastResponse: time.Now(), headerBytesLeft: -1}
-	c.br = bufio.NewReaderSize((*connReader)(c), 4<<10)
+	c.br = bufio.NewReaderSize((*connReader)(c), readBufferSize)
 	c.bw = bufio.NewWriterSize((*connWriter)(c), 4<<10)
 	return c
 }
--- a/internal/transport/response.go
+++ b/internal/transport/response.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -16,13 +15,6 @@
 // maxInformational bounds the responses that are skipped before the final one: 1xx and those to another request.
 const maxInformational = 5
 
-// Status codes that HTTP defines. The reader of net/http accepts others; one below 100 would be taken for an informational response and
-// its body for the next response.
-const (
-	minStatus = 100
-	maxStatus = 599
-)
-
 // maxDiscardedBody bounds the body that is discarded of a response to another request.
 const maxDiscardedBody = 1 << 20
 
@@ -58,13 +50,13 @@
 func (x *exchange) readFinalResponse() (*http.Response, error) {
 	for range maxInformational {
 		x.c.headerBytesLeft = x.c.connPool.cfg.MaxHeaderBytes
+		if err := x.c.checkHeader(); err != nil {
+			return nil, err
+		}
 		resp, err := http.ReadResponse(x.c.br, x.req)
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
-			return nil, malformed{fmt.Errorf("status %q", resp.Status)}
-		}
 		if resp.StatusCode == http.StatusSwitchingProtocols {
 			return nil, malformed{errUpgrade}
 		}
@@ -278,6 +270,7 @@
 		keep = x.c.nc.SetReadDeadline(time.Time{}) == nil
 	}
 	if keep {
+		x.c.shrinkBuffer()
 		x.c.connPool.release(x.c)
 	} else {
 		x.c.connPool.discard(x.c)
