Reject health responses whose header HTTP/1.1 doesn't allow

An upstream that spoils its header lines was believed to be healthy, while all its responses to requests are rejected now.

Change: each header line is checked with responsecheck.Field. A Connection header no longer overrides a Transfer-Encoding that came before it.

--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -17,6 +17,7 @@
 	"boragehinge.example/boragehinge/internal/headers"
 	"boragehinge.example/boragehinge/internal/pause"
 	"boragehinge.example/boragehinge/internal/placement"
+	"boragehinge.example/boragehinge/internal/responsecheck"
 	"boragehinge.example/boragehinge/internal/transport"
 )
 
@@ -133,6 +134,27 @@
 
 // readResponse parses the response. It only evaluates the headers that it needs, because probes are the most frequent messages.
 func (r *targetProber) readResponse(result *placement.Probe) error {
+	if err := r.readStatus(result); err != nil {
+		return err
+	}
+	f := framing{keepAlive: true}
+	for {
+		line, err := r.line()
+		if err != nil {
+			return err
+		}
+		if len(line) == 0 {
+			break
+		}
+		if err := r.readField(line, result, &f); err != nil {
+			return err
+		}
+	}
+	r.skipBody(f)
+	return nil
+}
+
+func (r *targetProber) readStatus(result *placement.Probe) error {
 	status, err := r.line()
 	if err != nil {
 		return err
@@ -143,52 +165,59 @@
 	result.Answered = true
 	code, _, _ := bytes.Cut(status[9:], []byte(" "))
 	result.Healthy = string(code) == "200"
-	length, keepAlive := int64(0), true
-	for {
-		line, err := r.line()
-		if err != nil {
-			return err
-		}
-		if len(line) == 0 {
-			break
+	return nil
+}
+
+// framing says where the body of a response ends and whether its connection can be used again.
+type framing struct {
+	length    int64
+	keepAlive bool
+}
+
+func (r *targetProber) readField(line []byte, result *placement.Probe, f *framing) error {
+	if err := responsecheck.Field(line); err != nil {
+		return fmt.Errorf("%w: %w", errMalformed, err)
+	}
+	name, value, _ := bytes.Cut(line, []byte(":")) // found by the check
+	value = bytes.TrimSpace(value)
+	names := &r.prober.Headers
+	switch {
+	case equalName(name, names.InstanceID):
+		result.WrongInstance = string(value) != r.target.ID
+	case equalName(name, names.Load):
+		result.Load = names.ParseLoad(string(value))
+	case equalName(name, names.ColdMs):
+		if ms, err := strconv.ParseFloat(string(value), 64); err == nil && ms > 0 {
+			result.ColdLeft = time.Duration(ms * float64(time.Millisecond))
 		}
-		name, value, ok := bytes.Cut(line, []byte(":"))
-		if !ok {
+	case equalName(name, names.Leaving):
+		result.Leaving = string(value) == headers.LeavingValue
+	case equalName(name, names.Limit):
+		result.Limit = headers.ParseLimit(string(value))
+	case equalName(name, "Content-Length"):
+		length, err := strconv.ParseInt(string(value), 10, 64)
+		if err != nil {
 			return errMalformed
 		}
-		value = bytes.TrimSpace(value)
-		switch {
-		case equalName(name, r.prober.Headers.InstanceID):
-			result.WrongInstance = string(value) != r.target.ID
-		case equalName(name, r.prober.Headers.Load):
-			result.Load = r.prober.Headers.ParseLoad(string(value))
-		case equalName(name, r.prober.Headers.ColdMs):
-			if ms, err := strconv.ParseFloat(string(value), 64); err == nil && ms > 0 {
-				result.ColdLeft = time.Duration(ms * float64(time.Millisecond))
-			}
-		case equalName(name, r.prober.Headers.Leaving):
-			result.Leaving = string(value) == headers.LeavingValue
-		case equalName(name, r.prober.Headers.Limit):
-			result.Limit = headers.ParseLimit(string(value))
-		case equalName(name, "Content-Length"):
-			if length, err = strconv.ParseInt(string(value), 10, 64); err != nil {
-				return errMalformed
-			}
-		case equalName(name, "Connection"):
-			keepAlive = !bytes.EqualFold(value, []byte("close"))
-		case equalName(name, "Transfer-Encoding"):
-			keepAlive = false
-		}
+		f.length = length
+	case equalName(name, "Connection"):
+		f.keepAlive = f.keepAlive && !bytes.EqualFold(value, []byte("close"))
+	case equalName(name, "Transfer-Encoding"):
+		f.keepAlive = false
 	}
-	if length < 0 || length > maxBodyBytes {
-		keepAlive = false
-	} else if _, err := r.reader.Discard(int(length)); err != nil {
-		keepAlive = false
+	return nil
+}
+
+// skipBody discards the body, and closes the connection if it can't be used again.
+func (r *targetProber) skipBody(f framing) {
+	if f.length < 0 || f.length > maxBodyBytes {
+		f.keepAlive = false
+	} else if _, err := r.reader.Discard(int(f.length)); err != nil {
+		f.keepAlive = false
 	}
-	if !keepAlive || r.reader.Buffered() > 0 {
+	if !f.keepAlive || r.reader.Buffered() > 0 {
 		r.close()
 	}
-	return nil
 }
 
 // equalName compares header names.
--- a/internal/probe/probe_test.go
+++ b/internal/probe/probe_test.go
@@ -131,3 +131,19 @@
 	assert.Greater(t, len(results), 1)
 	assert.LessOrEqual(t, len(results), int(asking/soonest)+1)
 }
+
+// Guards against a health response that HTTP/1.1 doesn't allow and that is believed: the responses to requests, which come from the same
+// upstream, are rejected.
+func TestMalformedHealthResponsesAreNoResponses(t *testing.T) {
+	for _, line := range []string{"X-Cache Hit: 1", "Content-Length : 5", " Content-Length: 5", "X-\x01Cache: 1", "X-Cache: \x00", ": 1"} {
+		u, err := standin.StartUpstream("u1", "127.0.0.1:0", 6)
+		require.NoError(t, err)
+		t.Cleanup(u.Stop)
+		results := startProber(t, u.Address(), "u1")
+		waitForResult(t, results, func(r placement.Probe) bool { return r.Healthy })
+		u.Set(standin.Behaviour{HeaderLine: line})
+		waitForResult(t, results, func(r placement.Probe) bool { return !r.Answered && !r.Healthy && !r.ConnReset })
+		u.Set(standin.Behaviour{HeaderLine: "X-Cache: 1"})
+		waitForResult(t, results, func(r placement.Probe) bool { return r.Healthy })
+	}
+}
