Reject malformed responses in the clients that use net/http

The issue names answers whose status is 000. Where the transport reads them, from upstreams, they were rejected before (TestInvalidStatusesAreNoResponses, TestResponsesWithInvalidStatusAreReplaced, TestInvalidStatusIsNotHealthy, unchanged). The other readers use http.Client, which accepts such a status and names with blanks:

- The Go client for callers returned a call as done, or as certainly not run, after a response with status 0, 99 or 600.

Change: responsecheck.RoundTripper fails for a response with a status that HTTP doesn't define, a malformed name, or a change of the protocol that wasn't asked for. All these clients handle an error as an attempt of unknown outcome, which is what such a response means. The client of the first version's log gets it as well. Left as they are: the operators' commands, which accept status 200 only and read no headers. What the parser repairs (folded lines, a transfer coding in HTTP/1.0) isn't seen there; only responses of upstreams are checked for it.

--- a/client/client.go
+++ b/client/client.go
@@ -12,6 +12,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"boragehinge.example/boragehinge/internal/responsecheck"
 )
 
 const (
@@ -61,6 +63,7 @@
 			MaxIdleConnsPerHost: 256, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
 		}
 	}
+	s.Transport = &responsecheck.RoundTripper{Base: s.Transport}
 	b := make([]byte, 8)
 	_, _ = rand.Read(b) // Never fails, see crypto/rand.
 	return &Client{
--- a/internal/ingress/broken_test.go
+++ b/internal/ingress/broken_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"boragehinge.example/boragehinge/internal/responsecheck/responsetest"
 	"boragehinge.example/boragehinge/platform/standin"
 )
 
@@ -47,16 +48,10 @@
 	}
 }
 
-// malformedFields are header lines that HTTP/1.1 doesn't allow.
-var malformedFields = []string{
-	"X-Cache Hit: 1", "Content-Length : 5", "Content-Length\t: 5", "Transfer-Encoding : chunked", " Content-Length: 5", "\tX-Cache: 1",
-	"X-\x01Cache: 1", "X-Cache\x00: 1", "X-\x7fCache: 1", "X-\rCache: 1", "\x1fX-Cache: 1", ": 1", "X-Cache",
-}
-
 // Guards against a caller that gets a response with a header line that is none in HTTP/1.1, and against repeating a request that must not
 // run twice after one.
 func TestResponsesWithMalformedFieldsAreReplaced(t *testing.T) {
-	for _, line := range malformedFields {
+	for _, line := range responsetest.MalformedFields {
 		t.Run(strconv.Quote(line), func(t *testing.T) {
 			r := newTestServer(t, 2)
 			r.placer.upstreams[0].Set(standin.Behaviour{HeaderLine: line})
--- a/internal/logservice/client.go
+++ b/internal/logservice/client.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"boragehinge.example/boragehinge/internal/pause"
+	"boragehinge.example/boragehinge/internal/responsecheck"
 )
 
 const (
@@ -59,7 +60,7 @@
 		base:      strings.TrimRight(s.URL, "/"),
 		timeout:   s.Timeout,
 		backoff:   s.Backoff,
-		http:      &http.Client{Transport: t},
+		http:      &http.Client{Transport: &responsecheck.RoundTripper{Base: t}},
 		transport: t,
 	}, nil
 }
--- a/internal/probe/probe_test.go
+++ b/internal/probe/probe_test.go
@@ -11,6 +11,7 @@
 	"boragehinge.example/boragehinge/internal/coordinator"
 	"boragehinge.example/boragehinge/internal/placement"
 	"boragehinge.example/boragehinge/internal/probe"
+	"boragehinge.example/boragehinge/internal/responsecheck/responsetest"
 	"boragehinge.example/boragehinge/platform"
 	"boragehinge.example/boragehinge/platform/standin"
 )
@@ -135,7 +136,7 @@
 // Guards against a health response that HTTP/1.1 doesn't allow and that is believed: the responses to requests, which come from the same
 // upstream, are rejected.
 func TestMalformedHealthResponsesAreNoResponses(t *testing.T) {
-	for _, line := range []string{"X-Cache Hit: 1", "Content-Length : 5", " Content-Length: 5", "X-\x01Cache: 1", "X-Cache: \x00", ": 1"} {
+	for _, line := range responsetest.MalformedFields {
 		u, err := standin.StartUpstream("u1", "127.0.0.1:0", 6)
 		require.NoError(t, err)
 		t.Cleanup(u.Stop)
--- a/internal/responsecheck/head.go
+++ b/internal/responsecheck/head.go
@@ -25,6 +25,7 @@
 	ErrFieldLine        = errors.New("malformed header field")
 	ErrFoldedLine       = errors.New("folded header field")
 	ErrTransferEncoding = errors.New("transfer coding in HTTP/1.0")
+	ErrUpgrade          = errors.New("change of the protocol without being asked")
 )
 
 // Head checks the header of one response. The zero value expects the status line.
--- /dev/null
+++ b/internal/responsecheck/roundtripper.go
@@ -0,0 +1,57 @@
+package responsecheck
+
+import (
+	"net/http"
+
+	"golang.org/x/net/http/httpguts"
+)
+
+// MaxHeaderBytes is the limit in bytes of a response header for clients that talk to the system's own processes and to the platform. The
+// default of net/http is 10 MiB, which a client may hold for each connection.
+const MaxHeaderBytes = 64 << 10
+
+// Response checks what net/http has parsed: the status code and the names of the header fields. Unlike a Head, it can't recognise what
+// the parser has repaired.
+func Response(resp *http.Response) error {
+	if err := Status(resp.StatusCode); err != nil {
+		return lineError(err, []byte(resp.Status))
+	}
+	for name := range resp.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return lineError(ErrFieldLine, []byte(name))
+		}
+	}
+	return nil
+}
+
+// RoundTripper is a http.RoundTripper that fails for malformed responses. Their errors wrap those of this package.
+type RoundTripper struct {
+	Base http.RoundTripper
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *RoundTripper) RoundTrip(req *http.Request) (*http.Response, error) {
+	resp, err := t.Base.RoundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	if err := checkResponse(req, resp); err != nil {
+		_ = resp.Body.Close()
+		return nil, err
+	}
+	return resp, nil
+}
+
+func checkResponse(req *http.Request, resp *http.Response) error {
+	if resp.StatusCode == http.StatusSwitchingProtocols && req.Header.Get("Upgrade") == "" {
+		return lineError(ErrUpgrade, []byte(resp.Status))
+	}
+	return Response(resp)
+}
+
+// CloseIdleConnections closes the idle connections of Base. http.Client calls it.
+func (t *RoundTripper) CloseIdleConnections() {
+	if base, ok := t.Base.(interface{ CloseIdleConnections() }); ok {
+		base.CloseIdleConnections()
+	}
+}
