Believe answers of other entries only with status 200

An entry that asks another one for the leader decoded the body whatever the status was, and so did relayed calls to the store. An address may be used by another program after an entry has ended, and a failing entry may answer with 500. The other way round, a relayed write whose answer couldn't be read, or had a failure, was reported as not executed although it may have been, so that it was sent through the next entry as well.

Change: the client of the entries rejects malformed responses (responsecheck.RoundTripper). postToPeer returns the body of a 200 only; a 4xx means that the call wasn't executed, as before for an entry that doesn't know its path, and other statuses and unreadable bodies leave the outcome open.

--- a/internal/coordinator/dutyrelay.go
+++ b/internal/coordinator/dutyrelay.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -92,15 +91,12 @@
 
 // relayDutyCall makes a call through the entry at a peer address.
 func relayDutyCall(ctx context.Context, address string, c dutyCall) (a dutyAnswer, err error) {
-	status, data, err := postToPeer(ctx, address, dutyRelayPath, c, relayTimeout)
+	data, err := postToPeer(ctx, address, dutyRelayPath, c, relayTimeout)
 	if err != nil {
 		return a, err
 	}
-	if status == http.StatusNotFound { // an entry of an earlier version, or one without usage reports
-		return a, fmt.Errorf("%w: %s doesn't relay calls to the log of duties", gateway.ErrNotExecuted, address)
-	}
 	if err := cbor.Unmarshal(data, &a); err != nil {
-		return a, fmt.Errorf("%w: through %s: status %d: %w", gateway.ErrOutcomeUnknown, address, status, err)
+		return a, fmt.Errorf("%w: through %s: %w", gateway.ErrOutcomeUnknown, address, err)
 	}
 	if a.Error != "" {
 		return a, fmt.Errorf("through %s: %w", address, relayErrors[a.Error])
--- a/internal/coordinator/elect.go
+++ b/internal/coordinator/elect.go
@@ -13,6 +13,7 @@
 
 	"boragehinge.example/boragehinge/internal/gateway"
 	"boragehinge.example/boragehinge/internal/pause"
+	"boragehinge.example/boragehinge/internal/responsecheck"
 )
 
 const (
@@ -74,10 +75,10 @@
 }
 
 // peerClient is used for leader queries and for calls that another entry relays to the store.
-var peerClient = &http.Client{Transport: &http.Transport{
+var peerClient = &http.Client{Transport: &responsecheck.RoundTripper{Base: &http.Transport{
 	DialContext:       (&net.Dialer{Timeout: rivalTimeout}).DialContext,
 	DisableKeepAlives: true,
-}}
+}}}
 
 // queryLeader queries an entry over HTTP. See leaderQueryFunc; asker is the peer address of the querying entry.
 func queryLeader(ctx context.Context, address, lost, asker string) (LeaderAnswer, error) {
@@ -92,6 +93,9 @@
 		return a, err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return a, fmt.Errorf("leader answer of %s: status %d", address, resp.StatusCode)
+	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, 64<<10))
 	if err != nil {
 		return a, err
--- a/internal/coordinator/peercall.go
+++ b/internal/coordinator/peercall.go
@@ -17,28 +17,44 @@
 	"boragehinge.example/boragehinge/internal/gateway"
 )
 
-// postToPeer posts a call, encoded as CBOR, to a path of the entry at a peer address, and returns the status and body of the answer. The
-// error is ErrNotExecuted if the call wasn't sent, and ErrOutcomeUnknown if there was no complete answer within the timeout.
-func postToPeer(ctx context.Context, address, path string, call any, timeout time.Duration) (status int, body []byte, err error) {
+// postToPeer posts a call, encoded as CBOR, to a path of the entry at a peer address, and returns the body of the answer. The error is
+// ErrNotExecuted if the call wasn't sent or was refused, and ErrOutcomeUnknown if there was no complete answer within the timeout, or one
+// with another failure.
+func postToPeer(ctx context.Context, address, path string, call any, timeout time.Duration) (body []byte, err error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	encoded, err := cbor.Marshal(call)
 	if err != nil {
-		return 0, nil, fmt.Errorf("%w: %w", gateway.ErrNotExecuted, err)
+		return nil, fmt.Errorf("%w: %w", gateway.ErrNotExecuted, err)
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(encoded))
 	if err != nil {
-		return 0, nil, fmt.Errorf("%w: %w", gateway.ErrNotExecuted, err)
+		return nil, fmt.Errorf("%w: %w", gateway.ErrNotExecuted, err)
 	}
 	resp, err := peerClient.Do(req)
 	if err != nil {
-		return 0, nil, fmt.Errorf("%w: through %s: %w", gateway.ErrOutcomeUnknown, address, err)
+		return nil, fmt.Errorf("%w: through %s: %w", gateway.ErrOutcomeUnknown, address, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if err := peerStatusError(resp.StatusCode); err != nil {
+		return nil, fmt.Errorf("%w: through %s: status %d", err, address, resp.StatusCode)
+	}
 	if body, err = io.ReadAll(io.LimitReader(resp.Body, maxFrameBytes)); err != nil {
-		return resp.StatusCode, nil, fmt.Errorf("%w: through %s: status %d: %w", gateway.ErrOutcomeUnknown, address, resp.StatusCode, err)
+		return nil, fmt.Errorf("%w: through %s: %w", gateway.ErrOutcomeUnknown, address, err)
+	}
+	return body, nil
+}
+
+// peerStatusError returns what the status of an answer says about the call, or nil if it was executed. An entry that doesn't know the path
+// of a call, because its version is earlier or a feature is off, answers with 404.
+func peerStatusError(status int) error {
+	switch {
+	case status == http.StatusOK:
+		return nil
+	case status >= http.StatusBadRequest && status < http.StatusInternalServerError:
+		return gateway.ErrNotExecuted
 	}
-	return resp.StatusCode, body, nil
+	return gateway.ErrOutcomeUnknown
 }
 
 // serveCalls answers the calls of at most maxBytes that other entries make with postToPeer.
--- a/internal/coordinator/relay.go
+++ b/internal/coordinator/relay.go
@@ -246,12 +246,12 @@
 // callRelay executes a store call through the entry at a peer address.
 func callRelay(ctx context.Context, address string, call relayRequest) (gateway.Batch, error) {
 	var answer relayResponse
-	status, data, err := postToPeer(ctx, address, relayPath, call, call.Wait+relayTimeout)
+	data, err := postToPeer(ctx, address, relayPath, call, call.Wait+relayTimeout)
 	if err != nil {
 		return answer.Batch, err
 	}
 	if err := cbor.Unmarshal(data, &answer); err != nil {
-		return answer.Batch, fmt.Errorf("%w: through %s: status %d: %w", gateway.ErrNotExecuted, address, status, err)
+		return answer.Batch, fmt.Errorf("%w: through %s: %w", gateway.ErrOutcomeUnknown, address, err)
 	}
 	if answer.Error != "" {
 		return answer.Batch, fmt.Errorf("through %s: %w", address, relayErrors[answer.Error])
