Bound the header of health responses

More reports of the issue: an upstream sends bytes that are no response, without end. The prober keeps none of them, but it read the header lines of such a health response as fast as they came until its 250 ms were over.

Change: a health response with more than 16 KiB of header lines is malformed.

--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -29,6 +29,8 @@
 	// retryInterval is the time between attempts to reach an upstream that doesn't respond.
 	retryInterval = 100 * time.Millisecond
 	maxBodyBytes  = 64 << 10
+	// maxHeaderBytes bounds what is read of a header without an end.
+	maxHeaderBytes = 16 << 10
 )
 
 // Prober sends health probes to upstreams.
@@ -93,6 +95,7 @@
 	reader        *bufio.Reader
 	connectedAt   time.Time
 	newConnection bool // the connection is new, or the last probe failed
+	headerLeft    int  // bytes of the response header that may still be read
 }
 
 func (r *targetProber) close() {
@@ -130,10 +133,14 @@
 	return result, nil
 }
 
-var errMalformed = errors.New("malformed health response")
+var (
+	errMalformed      = errors.New("malformed health response")
+	errHeaderTooLarge = fmt.Errorf("%w: the header is too large", errMalformed)
+)
 
 // readResponse parses the response. It only evaluates the headers that it needs, because probes are the most frequent messages.
 func (r *targetProber) readResponse(result *placement.Probe) error {
+	r.headerLeft = maxHeaderBytes
 	if err := r.readStatus(result); err != nil {
 		return err
 	}
@@ -225,10 +232,14 @@
 	return len(name) == len(want) && bytes.EqualFold(name, []byte(want))
 }
 
+// line reads the next line of the header, without its line end.
 func (r *targetProber) line() ([]byte, error) {
 	line, err := r.reader.ReadSlice('\n')
 	if err != nil {
 		return nil, fmt.Errorf("probe: %w", err)
 	}
+	if r.headerLeft -= len(line); r.headerLeft < 0 {
+		return nil, errHeaderTooLarge
+	}
 	return bytes.TrimRight(line, "\r\n"), nil
 }
