Bound the headers of answers that net/http reads

More reports of the issue: bytes without end in a head, all of which the machine that had called kept. The clients that entries use for the store, for usage reports and for each other kept up to 10 MiB of a header, the default of net/http, for each call; an entry asks up to 64 others at a time.

Bodies were bounded before.

The client for callers keeps the default, since the headers of entries may be larger than those of their upstreams. Links get responsecheck.RoundTripper as well.

--- a/internal/coordinator/elect.go
+++ b/internal/coordinator/elect.go
@@ -76,8 +76,9 @@
 
 // peerClient is used for leader queries and for calls that another entry relays to the store.
 var peerClient = &http.Client{Transport: &responsecheck.RoundTripper{Base: &http.Transport{
-	DialContext:       (&net.Dialer{Timeout: rivalTimeout}).DialContext,
-	DisableKeepAlives: true,
+	DialContext:            (&net.Dialer{Timeout: rivalTimeout}).DialContext,
+	DisableKeepAlives:      true,
+	MaxResponseHeaderBytes: responsecheck.MaxHeaderBytes,
 }}}
 
 // queryLeader queries an entry over HTTP. See leaderQueryFunc; asker is the peer address of the querying entry.
--- a/internal/coordinator/link.go
+++ b/internal/coordinator/link.go
@@ -11,6 +11,8 @@
 
 	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
+
+	"boragehinge.example/boragehinge/internal/responsecheck"
 )
 
 const (
@@ -48,7 +50,8 @@
 	ctx, cancel := context.WithTimeout(ctx, 2*dialTimeout)
 	defer cancel()
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	client := &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}}
+	transport := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: responsecheck.MaxHeaderBytes}
+	client := &http.Client{Transport: &responsecheck.RoundTripper{Base: transport}}
 	conn, _, err := websocket.Dial(ctx, "ws://"+address+linkPath, //nolint:bodyclose // Dial closes the body
 		&websocket.DialOptions{HTTPClient: client, CompressionMode: websocket.CompressionDisabled})
 	if err != nil {
--- a/internal/coordinator/peercall_test.go
+++ b/internal/coordinator/peercall_test.go
@@ -48,3 +48,23 @@
 	_, err = callRelay(t.Context(), unreadable, relayRequest{Source: gateway.Upstreams, Wait: time.Second})
 	require.ErrorIs(t, err, gateway.ErrOutcomeUnknown)
 }
+
+// Guards against answers whose header has no end, of which an entry would keep 10 MiB for each call.
+func TestPeerAnswersWithAnEndlessHeaderAreGivenUp(t *testing.T) {
+	for name, call := range map[string]func(address string) error{
+		"leader query": func(address string) error {
+			_, err := queryLeader(t.Context(), address, "", "")
+			return err
+		},
+		"relayed call": func(address string) error {
+			_, err := callRelay(t.Context(), address, relayRequest{Wait: time.Minute})
+			return err
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, sent := responsetest.StartEndlessServer(t, responsetest.StatusLine, responsetest.HeaderLines)
+			require.ErrorContains(t, call(address), "header")
+			assert.Less(t, sent.Load(), int64(responsetest.MaxBuffered))
+		})
+	}
+}
--- a/internal/logservice/client.go
+++ b/internal/logservice/client.go
@@ -52,9 +52,10 @@
 		s.Timeout = 3 * time.Second
 	}
 	t := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: s.Timeout}).DialContext,
-		MaxIdleConnsPerHost: 4,
-		IdleConnTimeout:     30 * time.Second,
+		DialContext:            (&net.Dialer{Timeout: s.Timeout}).DialContext,
+		MaxIdleConnsPerHost:    4,
+		IdleConnTimeout:        30 * time.Second,
+		MaxResponseHeaderBytes: responsecheck.MaxHeaderBytes,
 	}
 	return &Client{
 		base:      strings.TrimRight(s.URL, "/"),
--- a/internal/peer/websocket.go
+++ b/internal/peer/websocket.go
@@ -10,6 +10,7 @@
 
 	"github.com/coder/websocket"
 
+	"boragehinge.example/boragehinge/internal/responsecheck"
 	"boragehinge.example/boragehinge/internal/wire"
 )
 
@@ -28,7 +29,7 @@
 
 // Dial implements Transport; address is host:port of the peers' port.
 func (w WebSocket) Dial(ctx context.Context, address string) (Conn, error) {
-	transport := &http.Transport{DisableKeepAlives: true}
+	transport := &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: responsecheck.MaxHeaderBytes}
 	url := "wss://" + address + Path
 	if w.Credentials == nil {
 		if !w.Plaintext || !isLoopback(address) {
@@ -40,7 +41,7 @@
 	}
 	var state *tls.ConnectionState
 	conn, response, err := websocket.Dial(ctx, url, &websocket.DialOptions{ //nolint:bodyclose // Dial closes the body
-		HTTPClient: &http.Client{Transport: transport, CheckRedirect: refuseRedirect},
+		HTTPClient: &http.Client{Transport: &responsecheck.RoundTripper{Base: transport}, CheckRedirect: refuseRedirect},
 	})
 	if response != nil {
 		state = response.TLS
--- a/internal/responsecheck/responsetest/server.go
+++ b/internal/responsecheck/responsetest/server.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
+	"sync/atomic"
 	"testing"
 )
 
@@ -28,3 +30,33 @@
 	t.Cleanup(server.Close)
 	return server.Listener.Addr().String()
 }
+
+// StartEndlessServer starts a server that answers each request with start, and then with repeated until the connection is closed. It returns
+// its address and the number of bytes that were passed to the kernel.
+func StartEndlessServer(t *testing.T, start, repeated string) (address string, sent *atomic.Int64) {
+	t.Helper()
+	sent = &atomic.Int64{}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		for piece := start; err == nil; piece = repeated {
+			var n int
+			n, err = io.WriteString(c, piece)
+			sent.Add(int64(n))
+		}
+	}))
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String(), sent
+}
+
+// StatusLine and HeaderLines are the start of a response whose header has no end, and what is repeated behind it.
+var (
+	StatusLine  = "HTTP/1.1 200 OK\r\n"
+	HeaderLines = strings.Repeat("X-Padding: 1\r\n", 1000)
+)
+
+// MaxBuffered is more bytes than the buffers of the kernel on both sides hold, beside a header that is read to its limit.
+const MaxBuffered = 8 << 20
