Split the code that reads responses of upstreams by job

The error of an unasked change of the protocol was defined twice. The ingress tests of invalid statuses and of malformed header lines share checkReplaced. No behaviour changes.

--- a/internal/ingress/broken_test.go
+++ b/internal/ingress/broken_test.go
@@ -53,17 +53,7 @@
 func TestResponsesWithMalformedFieldsAreReplaced(t *testing.T) {
 	for _, line := range responsetest.MalformedFields {
 		t.Run(strconv.Quote(line), func(t *testing.T) {
-			r := newTestServer(t, 2)
-			r.placer.upstreams[0].Set(standin.Behaviour{HeaderLine: line})
-			resp := r.send(r.request("POST", "/unsafe/x", "b"))
-			assert.Equal(t, http.StatusBadGateway, resp.StatusCode)
-			assert.Empty(t, resp.Header.Get(names.Stamp))
-			assert.Equal(t, 1, r.runCount("id1"))
-			resp = r.send(r.request("GET", "/safe/x", ""))
-			assert.Equal(t, http.StatusOK, resp.StatusCode)
-			assert.Equal(t, "u1.id2", resp.Header.Get(names.Stamp))
-			assert.Equal(t, "served by u1", bodyOf(t, resp))
-			assert.Equal(t, []string{"lost", "lost", "success"}, r.placer.seen())
+			checkReplaced(t, standin.Behaviour{HeaderLine: line})
 		})
 	}
 }
--- a/internal/transport/errors.go
+++ b/internal/transport/errors.go
@@ -104,6 +104,5 @@
 	errClosed      = errors.New("transport is closed")
 	errMismatched  = errors.New("the response belongs to another request")
 	errUndelimited = errors.New("response has neither a length nor chunks, so a truncation couldn't be detected")
-	errUpgrade     = errors.New("upstream switched protocols without being asked")
 	errSilent      = errors.New("no progress while other connections of the upstream progressed")
 )
--- a/internal/transport/reset.go
+++ b/internal/transport/reset.go
@@ -15,19 +15,19 @@
 	return c.writeErr
 }
 
-// checkOrderlyEnd returns an error if the connection broke, after a read has returned io.EOF. The kernel reports the failure of a
-// connection once, to the first system call after it. If that was a write of the request, reads return io.EOF, as they do when the
-// upstream closes in order. The request can't be written any further after this call.
-func (c *conn) checkOrderlyEnd() error {
+// streamError returns the error that broke the connection, or nil if the upstream has ended the stream in order, after a read has returned
+// io.EOF. The kernel reports the failure of a connection once, to the first system call after it. If that was a write of the request, reads
+// return io.EOF in both cases. The request can't be written any further after this call.
+func (c *conn) streamError() error {
 	if c.readReset {
 		return syscall.ECONNRESET
 	}
 	err := c.stopWriting()
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return nil // by stopWriting: the connection didn't fail
-	}
-	if errors.Is(err, syscall.EPIPE) {
-		return nil // the connection was reset only after the upstream had marked the end of its response
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded): // by stopWriting
+		return nil
+	case errors.Is(err, syscall.EPIPE): // reset only after the upstream has ended the stream
+		return nil
 	}
 	return err
 }
--- a/internal/transport/response.go
+++ b/internal/transport/response.go
@@ -1,15 +1,13 @@
 package transport
 
 import (
-	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
-	"os"
 	"strconv"
-	"syscall"
 	"time"
+
+	"boragehinge.example/boragehinge/internal/responsecheck"
 )
 
 // maxInformational bounds the responses that are skipped before the final one: 1xx and those to another request.
@@ -58,7 +56,7 @@
 			return nil, err
 		}
 		if resp.StatusCode == http.StatusSwitchingProtocols {
-			return nil, malformed{errUpgrade}
+			return nil, malformed{responsecheck.ErrUpgrade}
 		}
 		if resp.StatusCode < 200 {
 			continue
@@ -150,58 +148,6 @@
 	return e
 }
 
-// fail finishes the exchange, closes the connection and classifies the error.
-func (x *exchange) fail(err error) error {
-	cause := x.cause(err)
-	idle := x.idleFor()
-	x.finish(false)
-	kind := Unknown
-	if x.written == 0 {
-		kind = NothingWritten
-	}
-	e := x.newError(kind, cause, err)
-	if cause == CauseConnectionLost {
-		e.Reset = IsReset(err) || x.c.readReset || x.writeEnded() && IsReset(x.writeErr)
-		e.ResponseBegun, e.IdleFor, e.After = x.c.received.Load(), idle, time.Since(x.start)
-	}
-	return e
-}
-
-func (x *exchange) newError(kind Kind, cause Cause, err error) *Error {
-	if cause == CauseSilent {
-		err = errSilent
-	}
-	return &Error{Kind: kind, Cause: cause, Address: x.c.connPool.address, Reused: x.reused, Written: x.written, Err: err}
-}
-
-func (x *exchange) cause(err error) Cause {
-	switch {
-	case x.c.silent.Load():
-		return CauseSilent
-	case x.ctx.Err() != nil:
-		return contextCause(x.ctx)
-	case x.requestBodyFailed():
-		return CauseRequestBody
-	case errors.Is(err, syscall.ETIMEDOUT):
-		return CauseSilent // the kernel's keep-alive probes were not answered
-	case isConnectionLost(err), isConnectionLost(x.c.readErr):
-		return CauseConnectionLost
-	}
-	var netErr net.Error
-	if errors.As(err, &netErr) {
-		return CauseOther
-	}
-	return CauseMalformed
-}
-
-// requestBodyFailed reports whether reading the request body failed. It is false while the request is being written.
-func (x *exchange) requestBodyFailed() bool {
-	if !x.writeEnded() {
-		return false
-	}
-	return x.body != nil && x.body.err != nil
-}
-
 // writeDoneTimeout bounds the wait for the writing goroutine to report that it is done. The response may have been read
 // before that.
 const writeDoneTimeout = 50 * time.Millisecond
@@ -233,29 +179,6 @@
 	}
 }
 
-func isConnectionLost(err error) bool {
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) ||
-		errors.Is(err, syscall.EPIPE) || errors.Is(err, net.ErrClosed)
-}
-
-// idleFor returns the time for which a reused connection had carried nothing before the request. It is 0 for a new connection and once
-// the header of the response has arrived.
-func (x *exchange) idleFor() time.Duration {
-	if !x.reused {
-		return 0
-	}
-	x.c.connPool.mu.Lock()
-	defer x.c.connPool.mu.Unlock()
-	return max(0, x.start.Sub(x.c.lastResponse))
-}
-
-func contextCause(ctx context.Context) Cause {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return CauseDeadline
-	}
-	return CauseCancelled
-}
-
 // finish detaches the context and releases the connection, or closes it unless keep is set. Later calls have no effect.
 func (x *exchange) finish(keep bool) {
 	if x.finished {
@@ -276,41 +199,3 @@
 		x.c.connPool.discard(x.c)
 	}
 }
-
-// body is a response body. The connection can be reused only if the body is read to its end.
-type body struct {
-	rc          io.ReadCloser
-	x           *exchange
-	reusable    bool
-	undelimited bool
-	err         error
-}
-
-// Read implements io.Reader. Errors other than io.EOF are *Error with the kind Unknown.
-func (b *body) Read(p []byte) (int, error) {
-	if b.err != nil {
-		return 0, b.err
-	}
-	n, err := b.rc.Read(p)
-	if err == io.EOF && b.undelimited {
-		if broken := b.x.c.checkOrderlyEnd(); broken != nil {
-			err = broken
-		}
-	}
-	if err == io.EOF {
-		b.err = io.EOF
-		b.x.finish(b.reusable)
-	} else if err != nil {
-		b.err = b.x.fail(err)
-	}
-	return n, b.err
-}
-
-// Close implements io.Closer. It closes the connection unless the body was read to its end.
-func (b *body) Close() error {
-	if b.err == nil {
-		b.err = b.x.newError(Unknown, CauseCancelled, os.ErrClosed)
-	}
-	b.x.finish(b.reusable && errors.Is(b.err, io.EOF))
-	return nil
-}
