Simplify the interface of responsecheck

Only the RoundTripper used Response and Status, so they aren't exported any more, and the two servers of responsetest share their accepting part. The transport's package comment names the check.

--- a/internal/responsecheck/head.go
+++ b/internal/responsecheck/head.go
@@ -81,8 +81,8 @@
 	if !ok {
 		return lineError(ErrStatusLine, line)
 	}
-	if err := Status(status); err != nil {
-		return lineError(err, line)
+	if !validStatus(status) {
+		return lineError(ErrStatus, line)
 	}
 	return nil
 }
@@ -101,13 +101,7 @@
 	return status, true
 }
 
-// Status returns ErrStatus for a status code that HTTP doesn't define.
-func Status(code int) error {
-	if code < minStatus || code > maxStatus {
-		return ErrStatus
-	}
-	return nil
-}
+func validStatus(code int) bool { return code >= minStatus && code <= maxStatus }
 
 // Field checks a header line behind the status line, without its line end.
 func Field(line []byte) error {
--- a/internal/responsecheck/responsetest/server.go
+++ b/internal/responsecheck/responsetest/server.go
@@ -3,6 +3,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -19,16 +20,9 @@
 // StartServer starts a server that answers each request with raw bytes and closes the connection. It returns its address.
 func StartServer(t *testing.T, raw string) string {
 	t.Helper()
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		c, _, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			return
-		}
+	return startServer(t, func(c net.Conn) {
 		_, _ = io.WriteString(c, raw) // the client may have closed the connection
-		_ = c.Close()
-	}))
-	t.Cleanup(server.Close)
-	return server.Listener.Addr().String()
+	})
 }
 
 // StartEndlessServer starts a server that answers each request with start, and then with repeated until the connection is closed. It returns
@@ -36,20 +30,30 @@
 func StartEndlessServer(t *testing.T, start, repeated string) (address string, sent *atomic.Int64) {
 	t.Helper()
 	sent = &atomic.Int64{}
+	address = startServer(t, func(c net.Conn) {
+		var err error
+		for piece := start; err == nil; piece = repeated {
+			var n int
+			n, err = io.WriteString(c, piece)
+			sent.Add(int64(n))
+		}
+	})
+	return address, sent
+}
+
+// startServer starts a server that answers each request by respond and closes the connection.
+func startServer(t *testing.T, respond func(net.Conn)) (address string) {
+	t.Helper()
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		c, _, err := http.NewResponseController(w).Hijack()
 		if err != nil {
 			return
 		}
 		defer func() { _ = c.Close() }()
-		for piece := start; err == nil; piece = repeated {
-			var n int
-			n, err = io.WriteString(c, piece)
-			sent.Add(int64(n))
-		}
+		respond(c)
 	}))
 	t.Cleanup(server.Close)
-	return server.Listener.Addr().String(), sent
+	return server.Listener.Addr().String()
 }
 
 // StatusLine and HeaderLines are the start of a response whose header has no end, and what is repeated behind it.
--- a/internal/responsecheck/roundtripper.go
+++ b/internal/responsecheck/roundtripper.go
@@ -10,21 +10,8 @@
 // default of net/http is 10 MiB, which a client may hold for each connection.
 const MaxHeaderBytes = 64 << 10
 
-// Response checks what net/http has parsed: the status code and the names of the header fields. Unlike a Head, it can't recognise what
-// the parser has repaired.
-func Response(resp *http.Response) error {
-	if err := Status(resp.StatusCode); err != nil {
-		return lineError(err, []byte(resp.Status))
-	}
-	for name := range resp.Header {
-		if !httpguts.ValidHeaderFieldName(name) {
-			return lineError(ErrFieldLine, []byte(name))
-		}
-	}
-	return nil
-}
-
-// RoundTripper is a http.RoundTripper that fails for malformed responses. Their errors wrap those of this package.
+// RoundTripper is a http.RoundTripper that fails for malformed responses. Their errors wrap those of this package. It checks what net/http
+// has parsed, so unlike a Head, it can't recognise what the parser has repaired.
 type RoundTripper struct {
 	Base http.RoundTripper
 }
@@ -43,10 +30,18 @@
 }
 
 func checkResponse(req *http.Request, resp *http.Response) error {
+	if !validStatus(resp.StatusCode) {
+		return lineError(ErrStatus, []byte(resp.Status))
+	}
 	if resp.StatusCode == http.StatusSwitchingProtocols && req.Header.Get("Upgrade") == "" {
 		return lineError(ErrUpgrade, []byte(resp.Status))
 	}
-	return Response(resp)
+	for name := range resp.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return lineError(ErrFieldLine, []byte(name))
+		}
+	}
+	return nil
 }
 
 // CloseIdleConnections closes the idle connections of Base. http.Client calls it.
--- a/internal/transport/doc.go
+++ b/internal/transport/doc.go
@@ -14,6 +14,8 @@
 // As a consequence, connection handling is maintained here, including the check for a peer that has closed an idle
 // connection.
 //
+// Headers of responses are checked before net/http parses them, see package responsecheck.
+//
 // Cancelling a context closes the connection of the call, because HTTP/1.1 has no other way to cancel a request. Its
 // replacement is subject to the rate limit for new connections.
 //
