Remove repetition from the readers of responses

- The probe split each header line that the check had split before. responsecheck.Field returns name and value; checkField is gone.
- Since the change, relayed calls to the store and to the log of duties read their answers in the same way, each with a copy. postToPeer decodes the answer, and relayError turns the code in it into an error.

No behaviour changes. The tests of the packages pass with the race detector, the linter is clean.

--- a/internal/coordinator/dutyrelay.go
+++ b/internal/coordinator/dutyrelay.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/gorilla/mux"
 	"github.com/rs/zerolog"
 
-	"boragehinge.example/boragehinge/internal/gateway"
 	"boragehinge.example/boragehinge/internal/usage"
 )
 
@@ -91,17 +88,11 @@
 
 // relayDutyCall makes a call through the entry at a peer address.
 func relayDutyCall(ctx context.Context, address string, c dutyCall) (a dutyAnswer, err error) {
-	data, err := postToPeer(ctx, address, dutyRelayPath, c, relayTimeout)
+	err = postToPeer(ctx, address, dutyRelayPath, c, &a, relayTimeout)
 	if err != nil {
 		return a, err
 	}
-	if err := cbor.Unmarshal(data, &a); err != nil {
-		return a, fmt.Errorf("%w: through %s: %w", gateway.ErrOutcomeUnknown, address, err)
-	}
-	if a.Error != "" {
-		return a, fmt.Errorf("through %s: %w", address, relayErrors[a.Error])
-	}
-	return a, nil
+	return a, relayError(address, a.Error)
 }
 
 // serveDutyRelay makes calls to the log of duties for other entries, if this one has usage reports.
--- a/internal/coordinator/elect.go
+++ b/internal/coordinator/elect.go
@@ -75,11 +75,10 @@
 }
 
 // peerClient is used for leader queries and for calls that another entry relays to the store.
-var peerClient = &http.Client{Transport: &responsecheck.RoundTripper{Base: &http.Transport{
-	DialContext:            (&net.Dialer{Timeout: rivalTimeout}).DialContext,
-	DisableKeepAlives:      true,
-	MaxResponseHeaderBytes: responsecheck.MaxHeaderBytes,
-}}}
+var peerClient = &http.Client{Transport: responsecheck.NewRoundTripper(&http.Transport{
+	DialContext:       (&net.Dialer{Timeout: rivalTimeout}).DialContext,
+	DisableKeepAlives: true,
+})}
 
 // queryLeader queries an entry over HTTP. See leaderQueryFunc; asker is the peer address of the querying entry.
 func queryLeader(ctx context.Context, address, lost, asker string) (LeaderAnswer, error) {
--- a/internal/coordinator/link.go
+++ b/internal/coordinator/link.go
@@ -50,8 +50,8 @@
 	ctx, cancel := context.WithTimeout(ctx, 2*dialTimeout)
 	defer cancel()
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	transport := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: responsecheck.MaxHeaderBytes}
-	client := &http.Client{Transport: &responsecheck.RoundTripper{Base: transport}}
+	transport := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}
+	client := &http.Client{Transport: responsecheck.NewRoundTripper(transport)}
 	conn, _, err := websocket.Dial(ctx, "ws://"+address+linkPath, //nolint:bodyclose // Dial closes the body
 		&websocket.DialOptions{HTTPClient: client, CompressionMode: websocket.CompressionDisabled})
 	if err != nil {
--- a/internal/coordinator/peercall.go
+++ b/internal/coordinator/peercall.go
@@ -17,32 +17,36 @@
 	"boragehinge.example/boragehinge/internal/gateway"
 )
 
-// postToPeer posts a call, encoded as CBOR, to a path of the entry at a peer address, and returns the body of the answer. The error is
-// ErrNotExecuted if the call wasn't sent or was refused, and ErrOutcomeUnknown if there was no complete answer within the timeout, or one
-// with another failure.
-func postToPeer(ctx context.Context, address, path string, call any, timeout time.Duration) (body []byte, err error) {
+// postToPeer posts a call, encoded as CBOR, to a path of the entry at a peer address, and decodes the answer. The error is ErrNotExecuted if
+// the call wasn't sent or was refused, and ErrOutcomeUnknown if no complete and readable answer came within the timeout, or one with another
+// failure.
+func postToPeer(ctx context.Context, address, path string, call, answer any, timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	encoded, err := cbor.Marshal(call)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", gateway.ErrNotExecuted, err)
+		return fmt.Errorf("%w: %w", gateway.ErrNotExecuted, err)
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(encoded))
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", gateway.ErrNotExecuted, err)
+		return fmt.Errorf("%w: %w", gateway.ErrNotExecuted, err)
 	}
 	resp, err := peerClient.Do(req)
 	if err != nil {
-		return nil, fmt.Errorf("%w: through %s: %w", gateway.ErrOutcomeUnknown, address, err)
+		return fmt.Errorf("%w: through %s: %w", gateway.ErrOutcomeUnknown, address, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if err := peerStatusError(resp.StatusCode); err != nil {
-		return nil, fmt.Errorf("%w: through %s: status %d", err, address, resp.StatusCode)
+		return fmt.Errorf("%w: through %s: status %d", err, address, resp.StatusCode)
 	}
-	if body, err = io.ReadAll(io.LimitReader(resp.Body, maxFrameBytes)); err != nil {
-		return nil, fmt.Errorf("%w: through %s: %w", gateway.ErrOutcomeUnknown, address, err)
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxFrameBytes))
+	if err == nil {
+		err = cbor.Unmarshal(data, answer)
 	}
-	return body, nil
+	if err != nil {
+		return fmt.Errorf("%w: through %s: %w", gateway.ErrOutcomeUnknown, address, err)
+	}
+	return nil
 }
 
 // peerStatusError returns what the status of an answer says about the call, or nil if it was executed. An entry that doesn't know the path
@@ -80,6 +84,14 @@
 	}).Methods(http.MethodPost)
 }
 
+// relayError returns the error of a call that the entry at a peer address has relayed, by its code in the answer, or nil if that is empty.
+func relayError(address, code string) error {
+	if code == "" {
+		return nil
+	}
+	return fmt.Errorf("through %s: %w", address, relayErrors[code])
+}
+
 // relayErrorCode returns the key of relayErrors for an error, or fallback for an error that has none.
 func relayErrorCode(err error, fallback string) string {
 	code := fallback
--- a/internal/coordinator/relay.go
+++ b/internal/coordinator/relay.go
@@ -9,7 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/gorilla/mux"
 	"github.com/rs/zerolog"
 
@@ -246,17 +245,11 @@
 // callRelay executes a store call through the entry at a peer address.
 func callRelay(ctx context.Context, address string, call relayRequest) (gateway.Batch, error) {
 	var answer relayResponse
-	data, err := postToPeer(ctx, address, relayPath, call, call.Wait+relayTimeout)
+	err := postToPeer(ctx, address, relayPath, call, &answer, call.Wait+relayTimeout)
 	if err != nil {
 		return answer.Batch, err
 	}
-	if err := cbor.Unmarshal(data, &answer); err != nil {
-		return answer.Batch, fmt.Errorf("%w: through %s: %w", gateway.ErrOutcomeUnknown, address, err)
-	}
-	if answer.Error != "" {
-		return answer.Batch, fmt.Errorf("through %s: %w", address, relayErrors[answer.Error])
-	}
-	return answer.Batch, nil
+	return answer.Batch, relayError(address, answer.Error)
 }
 
 func (n *Node) serveRelay(r *mux.Router) {
--- a/internal/logservice/client.go
+++ b/internal/logservice/client.go
@@ -52,16 +52,15 @@
 		s.Timeout = 3 * time.Second
 	}
 	t := &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: s.Timeout}).DialContext,
-		MaxIdleConnsPerHost:    4,
-		IdleConnTimeout:        30 * time.Second,
-		MaxResponseHeaderBytes: responsecheck.MaxHeaderBytes,
+		DialContext:         (&net.Dialer{Timeout: s.Timeout}).DialContext,
+		MaxIdleConnsPerHost: 4,
+		IdleConnTimeout:     30 * time.Second,
 	}
 	return &Client{
 		base:      strings.TrimRight(s.URL, "/"),
 		timeout:   s.Timeout,
 		backoff:   s.Backoff,
-		http:      &http.Client{Transport: &responsecheck.RoundTripper{Base: t}},
+		http:      &http.Client{Transport: responsecheck.NewRoundTripper(t)},
 		transport: t,
 	}, nil
 }
--- a/internal/peer/websocket.go
+++ b/internal/peer/websocket.go
@@ -29,7 +29,7 @@
 
 // Dial implements Transport; address is host:port of the peers' port.
 func (w WebSocket) Dial(ctx context.Context, address string) (Conn, error) {
-	transport := &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: responsecheck.MaxHeaderBytes}
+	transport := &http.Transport{DisableKeepAlives: true}
 	url := "wss://" + address + Path
 	if w.Credentials == nil {
 		if !w.Plaintext || !isLoopback(address) {
@@ -41,7 +41,7 @@
 	}
 	var state *tls.ConnectionState
 	conn, response, err := websocket.Dial(ctx, url, &websocket.DialOptions{ //nolint:bodyclose // Dial closes the body
-		HTTPClient: &http.Client{Transport: &responsecheck.RoundTripper{Base: transport}, CheckRedirect: refuseRedirect},
+		HTTPClient: &http.Client{Transport: responsecheck.NewRoundTripper(transport), CheckRedirect: refuseRedirect},
 	})
 	if response != nil {
 		state = response.TLS
--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -182,10 +182,10 @@
 }
 
 func (r *targetProber) readField(line []byte, result *placement.Probe, f *framing) error {
-	if err := responsecheck.Field(line); err != nil {
+	name, value, err := responsecheck.Field(line)
+	if err != nil {
 		return fmt.Errorf("%w: %w", errMalformed, err)
 	}
-	name, value, _ := bytes.Cut(line, []byte(":")) // found by the check
 	value = bytes.TrimSpace(value)
 	names := &r.prober.Headers
 	switch {
--- a/internal/responsecheck/head.go
+++ b/internal/responsecheck/head.go
@@ -58,7 +58,7 @@
 		h.begun = true
 		return h.checkStatusLine(line)
 	}
-	name, err := checkField(line)
+	name, _, err := Field(line)
 	if err != nil {
 		return err
 	}
@@ -103,21 +103,17 @@
 
 func validStatus(code int) bool { return code >= minStatus && code <= maxStatus }
 
-// Field checks a header line behind the status line, without its line end.
-func Field(line []byte) error {
-	_, err := checkField(line)
-	return err
-}
-
-func checkField(line []byte) (name []byte, err error) {
+// Field splits a header line behind the status line, without its line end, into its name and value. The value may have white space
+// around it.
+func Field(line []byte) (name, value []byte, err error) {
 	if len(line) > 0 && (line[0] == ' ' || line[0] == '\t') {
-		return nil, lineError(ErrFoldedLine, line)
+		return nil, nil, lineError(ErrFoldedLine, line)
 	}
 	name, value, ok := bytes.Cut(line, []byte(":"))
 	if !ok || !httpguts.ValidHeaderFieldName(string(name)) || !httpguts.ValidHeaderFieldValue(string(value)) {
-		return nil, lineError(ErrFieldLine, line)
+		return nil, nil, lineError(ErrFieldLine, line)
 	}
-	return name, nil
+	return name, value, nil
 }
 
 func lineError(err error, line []byte) error {
--- a/internal/responsecheck/head_test.go
+++ b/internal/responsecheck/head_test.go
@@ -56,7 +56,8 @@
 			c + "X-A: 1": inName, "X" + c + "A: 1": inName || c == ":", "X-A" + c + ": 1": inName || c == ":",
 			"X-A:" + c + "1": inValue, "X-A: 1" + c + "2": inValue, "X-A: 1" + c: inValue,
 		} {
-			assert.Equal(t, valid, responsecheck.Field([]byte(line)) == nil, "%q", line)
+			_, _, err := responsecheck.Field([]byte(line))
+			assert.Equal(t, valid, err == nil, "%q", line)
 		}
 	}
 }
--- a/internal/responsecheck/roundtripper.go
+++ b/internal/responsecheck/roundtripper.go
@@ -6,9 +6,9 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// MaxHeaderBytes is the limit in bytes of a response header for clients that talk to the system's own processes and to the platform. The
+// maxHeaderBytes is the limit in bytes of a response header for clients that talk to the system's own processes and to the platform. The
 // default of net/http is 10 MiB, which a client may hold for each connection.
-const MaxHeaderBytes = 64 << 10
+const maxHeaderBytes = 64 << 10
 
 // RoundTripper is a http.RoundTripper that fails for malformed responses. Their errors wrap those of this package. It checks what net/http
 // has parsed, so unlike a Head, it can't recognise what the parser has repaired.
@@ -16,6 +16,12 @@
 	Base http.RoundTripper
 }
 
+// NewRoundTripper limits the response headers that base reads to 64 KiB, and returns a RoundTripper on top of it.
+func NewRoundTripper(base *http.Transport) *RoundTripper {
+	base.MaxResponseHeaderBytes = maxHeaderBytes
+	return &RoundTripper{Base: base}
+}
+
 // RoundTrip implements http.RoundTripper.
 func (t *RoundTripper) RoundTrip(req *http.Request) (*http.Response, error) {
 	resp, err := t.Base.RoundTrip(req)
--- a/internal/transport/body.go
+++ b/internal/transport/body.go
@@ -11,7 +11,7 @@
 	rc          io.ReadCloser
 	x           *exchange
 	reusable    bool
-	undelimited bool // see undelimited
+	undelimited bool // its end is marked only by the close of the connection
 	err         error
 }
 
