Remove repetition from the tests of broken responses

- The transport's tests had newEarlyResponder, which answers before it reads a body, and the change had written readsNoBody beside it, with a reader of headers of its own and a third accept loop.
There is one newEarlyResponder, and one listen for it and the raw server.
- Three places wrote until the connection closes and counted the bytes; the two in tests share responsetest.WriteWithoutEnd.
The only arguments of StartEndlessServer are part of StartEndlessHeaderServer, and the probe's bound uses responsetest.MaxBuffered (the same value).

The assertions, bounds and expectations are the same.

--- a/internal/probe/probe_test.go
+++ b/internal/probe/probe_test.go
@@ -152,11 +152,7 @@
 // Guards against health responses without an end that are read until the time of the probe is over: they must cost neither memory nor the
 // processor time that other probes need.
 func TestHealthResponsesWithoutEnd(t *testing.T) {
-	const (
-		probes = 5
-		// maxSent is more than the buffers of a connection on both sides hold.
-		maxSent = probes * 8 << 20
-	)
+	const probes = 5
 	for _, part := range []standin.Endless{standin.EndlessLine, standin.EndlessHeader, standin.EndlessInterim} {
 		t.Run(part.String(), func(t *testing.T) {
 			u, err := standin.StartUpstream("u1", "127.0.0.1:0", 6)
@@ -168,7 +164,7 @@
 				result := <-results
 				assert.False(t, result.Answered && result.Healthy)
 			}
-			assert.Less(t, u.EndlessSent(), int64(maxSent))
+			assert.Less(t, u.EndlessSent(), int64(probes*responsetest.MaxBuffered))
 		})
 	}
 }
--- a/internal/responsecheck/responsetest/server.go
+++ b/internal/responsecheck/responsetest/server.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 )
 
 // MalformedFields are header lines, without their line ends, that HTTP/1.1 doesn't allow behind another header line.
@@ -25,22 +26,31 @@
 	})
 }
 
-// StartEndlessServer starts a server that answers each request with start, and then with repeated until the connection is closed. It returns
-// its address and the number of bytes that were passed to the kernel.
-func StartEndlessServer(t *testing.T, start, repeated string) (address string, sent *atomic.Int64) {
+// StartEndlessHeaderServer starts a server that answers each request with header lines until the connection is closed. It returns its
+// address and the number of bytes that were passed to the kernel.
+func StartEndlessHeaderServer(t *testing.T) (address string, sent *atomic.Int64) {
 	t.Helper()
 	sent = &atomic.Int64{}
+	lines := strings.Repeat("X-Padding: 1\r\n", 1000)
 	address = startServer(t, func(c net.Conn) {
-		var err error
-		for piece := start; err == nil; piece = repeated {
-			var n int
-			n, err = io.WriteString(c, piece)
-			sent.Add(int64(n))
-		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n")
+		WriteWithoutEnd(c, lines, 0, sent)
 	})
 	return address, sent
 }
 
+// WriteWithoutEnd writes a piece of a response again and again, with a pause, until the connection is closed, and counts the bytes.
+func WriteWithoutEnd(c net.Conn, piece string, pause time.Duration, sent *atomic.Int64) {
+	for {
+		n, err := io.WriteString(c, piece)
+		sent.Add(int64(n))
+		if err != nil {
+			return
+		}
+		time.Sleep(pause)
+	}
+}
+
 // startServer starts a server that answers each request by respond and closes the connection.
 func startServer(t *testing.T, respond func(net.Conn)) (address string) {
 	t.Helper()
@@ -56,11 +66,5 @@
 	return server.Listener.Addr().String()
 }
 
-// StatusLine and HeaderLines are the start of a response whose header has no end, and what is repeated behind it.
-var (
-	StatusLine  = "HTTP/1.1 200 OK\r\n"
-	HeaderLines = strings.Repeat("X-Padding: 1\r\n", 1000)
-)
-
 // MaxBuffered is more bytes than the buffers of the kernel on both sides hold, beside a header that is read to its limit.
 const MaxBuffered = 8 << 20
--- a/internal/transport/body_test.go
+++ b/internal/transport/body_test.go
@@ -117,7 +117,10 @@
 
 // Guards against waiting for the whole upload after the upstream has already responded.
 func TestEarlyResponse(t *testing.T) {
-	s := newEarlyResponder(t, "HTTP/1.1 413 Too Large\r\nContent-Length: 3\r\n\r\nbig")
+	s := newEarlyResponder(t, func(c *net.TCPConn) {
+		_, _ = io.WriteString(c, "HTTP/1.1 413 Too Large\r\nContent-Length: 3\r\n\r\nbig")
+		_, _ = io.Copy(io.Discard, c)
+	})
 	r := newRequest(t, "POST", "/", "")
 	pr, pw := io.Pipe()
 	defer func() { _ = pw.Close() }()
@@ -130,25 +133,6 @@
 	require.Zero(t, tr.Stats(s).Idle, "a connection with an unfinished request must not be reused")
 }
 
-// newEarlyResponder responds as soon as a request's header has arrived and reads no body.
-func newEarlyResponder(t *testing.T, raw string) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		c, err := ln.Accept()
-		if err != nil {
-			return
-		}
-		buf := make([]byte, 1024)
-		_, _ = c.Read(buf)
-		_, _ = io.WriteString(c, raw)
-		_, _ = io.Copy(io.Discard, c)
-	}()
-	return ln.Addr().String()
-}
-
 // Guards against malformed load reports that are accepted and then used for load balancing.
 func TestParseLoad(t *testing.T) {
 	for value, want := range map[string]*LoadReport{
--- a/internal/transport/helpers_test.go
+++ b/internal/transport/helpers_test.go
@@ -27,10 +27,22 @@
 }
 
 func newRawServer(t *testing.T, script func(n int, c net.Conn, r *http.Request) bool) *rawServer {
+	t.Helper()
+	s := &rawServer{}
+	s.ln = listen(t, func(c net.Conn) {
+		s.mu.Lock()
+		s.accepted++
+		s.mu.Unlock()
+		s.serve(c, script)
+	})
+	return s
+}
+
+// listen accepts connections on a free port of the loopback interface, runs serve for each in a goroutine, and closes it afterwards.
+func listen(t *testing.T, serve func(net.Conn)) net.Listener {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	s := &rawServer{ln: ln}
 	t.Cleanup(func() { _ = ln.Close() })
 	go func() {
 		for {
@@ -38,17 +50,27 @@
 			if err != nil {
 				return
 			}
-			s.mu.Lock()
-			s.accepted++
-			s.mu.Unlock()
-			go s.serve(c, script)
+			go func() {
+				defer func() { _ = c.Close() }()
+				serve(c)
+			}()
 		}
 	}()
-	return s
+	return ln
+}
+
+// newEarlyResponder returns the address of an upstream that runs respond as soon as the header of a request has arrived. The body isn't
+// read, but for the few bytes that came with the header.
+func newEarlyResponder(t *testing.T, respond func(c *net.TCPConn)) string {
+	t.Helper()
+	return listen(t, func(c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			respond(c.(*net.TCPConn))
+		}
+	}).Addr().String()
 }
 
 func (s *rawServer) serve(c net.Conn, script func(int, net.Conn, *http.Request) bool) {
-	defer func() { _ = c.Close() }()
 	br := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(br)
--- a/internal/transport/reset_test.go
+++ b/internal/transport/reset_test.go
@@ -22,43 +22,6 @@
 	partialBody = "the first part of the body"
 )
 
-// readsNoBody returns the address of an upstream that runs respond as soon as the header of a request has arrived. The body isn't read.
-func readsNoBody(t *testing.T, respond func(c *net.TCPConn)) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				if readHeader(c) == nil {
-					respond(c.(*net.TCPConn))
-				}
-			}()
-		}
-	}()
-	return ln.Addr().String()
-}
-
-// readHeader reads c up to the end of a request header and at most a few bytes of the body.
-func readHeader(c net.Conn) error {
-	var seen []byte
-	buf := make([]byte, 64)
-	for !bytes.Contains(seen, []byte("\r\n\r\n")) {
-		n, err := c.Read(buf)
-		if err != nil {
-			return err
-		}
-		seen = append(seen, buf[:n]...)
-	}
-	return nil
-}
-
 // upload sends a request with a body of size bytes and reads the whole response.
 func upload(t *testing.T, tr *Transport, address string, body io.ReadCloser, size int64) (string, error) {
 	t.Helper()
@@ -75,7 +38,7 @@
 func TestUndelimitedResponseThatIsResetIsNotComplete(t *testing.T) {
 	for name, delay := range map[string]time.Duration{"at once": 0, "while the response is read": 2 * time.Millisecond} {
 		t.Run(name, func(t *testing.T) {
-			address := readsNoBody(t, func(c *net.TCPConn) {
+			address := newEarlyResponder(t, func(c *net.TCPConn) {
 				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"+partialBody)
 				time.Sleep(delay)
 				_ = c.SetLinger(0)
@@ -111,7 +74,7 @@
 		"upload is neither read nor ended": func(c *net.TCPConn) { time.Sleep(200 * time.Millisecond) },
 	} {
 		t.Run(name, func(t *testing.T) {
-			address := readsNoBody(t, func(c *net.TCPConn) {
+			address := newEarlyResponder(t, func(c *net.TCPConn) {
 				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"+partialBody)
 				_ = c.CloseWrite()
 				afterEnd(c)
@@ -128,7 +91,7 @@
 
 // Guards against waiting, at the end of a response without a length, for a caller that supplies the rest of the upload slowly.
 func TestUndelimitedResponseDoesNotWaitForTheUpload(t *testing.T) {
-	address := readsNoBody(t, func(c *net.TCPConn) {
+	address := newEarlyResponder(t, func(c *net.TCPConn) {
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"+partialBody)
 	})
 	tr := newTransport(t, Config{AcceptUndelimited: true})
--- a/internal/transport/unwanted_test.go
+++ b/internal/transport/unwanted_test.go
@@ -14,6 +14,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"boragehinge.example/boragehinge/internal/responsecheck/responsetest"
 )
 
 const idHeader = "X-Id"
@@ -69,18 +71,6 @@
 	}
 }
 
-// endless repeats a piece of a response until the connection is closed, and counts the bytes.
-func endless(c net.Conn, piece string, pause time.Duration, sent *atomic.Int64) {
-	for {
-		n, err := io.WriteString(c, piece)
-		sent.Add(int64(n))
-		if err != nil {
-			return
-		}
-		time.Sleep(pause)
-	}
-}
-
 // Guards against bytes without end that are no response: they must cost neither unbounded memory nor the time until the caller's
 // deadline, and end with an error and a closed connection.
 func TestBytesWithoutEnd(t *testing.T) {
@@ -106,7 +96,7 @@
 			closed := make(chan struct{})
 			s := newRawServer(t, func(_ int, c net.Conn, _ *http.Request) bool {
 				_, _ = io.WriteString(c, script.start)
-				endless(c, script.piece, script.pause, &sent)
+				responsetest.WriteWithoutEnd(c, script.piece, script.pause, &sent)
 				close(closed)
 				return false
 			})
