--- a/review/lab3/deadly.go
+++ b/review/lab3/deadly.go
@@ -14,18 +14,19 @@
 	services []string // of its route, in equal parts
 	crash    func(t *target, d time.Duration)
 	pause    time.Duration // between two tries of its caller
-	playFor  time.Duration
+	atOne    bool          // the caller stays with one entry
+	unsafe   bool          // the request may run once only
 }
 
 func init() {
-	const often, seldom = 400 * time.Millisecond, 3300 * time.Millisecond
+	const often, seldom = 400 * time.Millisecond, 2250 * time.Millisecond
 	one, three := []string{"lists"}, []string{"lists", "maps", "bundles"}
 	late := func(t *target, d time.Duration) { time.AfterFunc(1200*time.Millisecond, func() { t.crash(d) }) }
 	for name, c := range map[string]deadlyCase{
-		"deadly":       {one, (*target).goDark, often, 20 * time.Second},
-		"deadly-late":  {one, late, often, 20 * time.Second},
-		"deadly-plain": {one, (*target).crash, often, 20 * time.Second},
-		"deadly-split": {three, (*target).crash, seldom, 36 * time.Second},
+		"deadly":       {one, (*target).goDark, often, false, false},
+		"deadly-late":  {one, late, often, false, false},
+		"deadly-plain": {one, (*target).crash, often, false, false},
+		"deadly-split": {three, (*target).crash, seldom, true, true},
 	} {
 		cases[name] = func(rec *recorder, trouble bool) (bool, error) { return deadly(rec, trouble, c) }
 	}
@@ -36,6 +37,7 @@
 	const (
 		targets   = 15
 		darkFor   = 2400 * time.Millisecond
+		playFor   = 20 * time.Second
 		deadline  = 800 * time.Millisecond
 		stability = 3 * time.Second
 		allowed   = 3
@@ -46,7 +48,11 @@
 	for _, name := range names {
 		services = append(services, service{name, 11})
 	}
-	d, err := newDeployment(rec, []route{{name: "lists", prefix: "/lists/", kind: "safe", split: names, timeout: deadline, slo: 250 * time.Millisecond, maxAttempts: 2},
+	kind, method, body, attempts := "safe", http.MethodGet, "", 2
+	if how.unsafe {
+		kind, method, body, attempts = "unsafe", http.MethodPost, "deadly", 1
+	}
+	d, err := newDeployment(rec, []route{{name: "lists", prefix: "/lists/", kind: kind, split: names, timeout: deadline, slo: 250 * time.Millisecond, maxAttempts: attempts},
 		{name: "orders", prefix: "/orders/", kind: "unsafe", split: names, timeout: deadline, slo: 250 * time.Millisecond, maxAttempts: 1}}, services)
 	if err != nil {
 		return false, err
@@ -73,7 +79,7 @@
 	if err := d.startEntries(3); err != nil {
 		return false, err
 	}
-	end := time.Now().Add(how.playFor)
+	end := time.Now().Add(playFor)
 	sent := map[string]time.Time{}
 	statuses := map[int]int{}
 	var running sync.WaitGroup
@@ -84,7 +90,11 @@
 			mu.Lock()
 			sent[id] = at
 			mu.Unlock()
-			a := d.ask(d.entries[rand.IntN(3)], id, http.MethodGet, path, "", deadline, "")
+			e := d.entries[0]
+			if !how.atOne {
+				e = d.entries[rand.IntN(len(d.entries))]
+			}
+			a := d.ask(e, id, method, path, body, deadline, "")
 			mu.Lock()
 			statuses[a.status]++
 			mu.Unlock()
--- a/review/lab3/slowreader.go
+++ b/review/lab3/slowreader.go
@@ -19,10 +19,10 @@
 func slowReaders(rec *recorder, trouble bool) (broken bool, err error) {
 	const (
 		bodySize = 540_000
-		deadline = 6 * time.Second
-		readFor  = 5500 * time.Millisecond
+		deadline = 5 * time.Second // of the bulk exports
+		readFor  = 4600 * time.Millisecond
 		sentAt   = 2500 * time.Millisecond // after the signal
-		window   = 32 << 10                // of a caller, in bytes
+		window   = 16 << 10                // of a caller, in bytes
 		callers  = 4
 	)
 	d, err := newDeployment(rec, []route{{name: "exports", prefix: "/exports/", kind: "download", service: "exports", timeout: deadline, slo: 2500 * time.Millisecond, maxAttempts: 2}}, []service{{"exports", 11}})
@@ -89,7 +89,8 @@
 			rec.say("%s: status %d, %d of %d bytes after %.2f s, %.2f s after the signal: %v", id, status, n, bodySize, took.Seconds(), time.Since(signalled).Seconds(), err)
 			mu.Lock()
 			defer mu.Unlock()
-			if status == http.StatusOK && err != nil && took < deadline {
+			planned := time.Since(signalled) < grace+time.Second
+			if status == http.StatusOK && err != nil && took < deadline && planned {
 				for _, r := range d.allRuns() {
 					if r.id == id {
 						rec.say("%s ran on %s, which had sent the whole answer %.2f s after the signal", id, r.target.id, r.ended.Sub(signalled).Seconds())
